--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo, benchmarks and the proof runner."""
--- /dev/null
+++ b/godwitstall/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control for service call graphs."""
--- /dev/null
+++ b/godwitstall/errors.py
@@ -0,0 +1,254 @@
+"""The closed list of error kinds, the answer to each, and the exceptions.
+
+Every refusal and failure that a caller, an operator or another process can
+see has one kind here. ANSWERS says for each kind which HTTP status goes out,
+whether the request was run, and whether an entry node may try elsewhere.
+"""
+
+import dataclasses
+import enum
+
+
+class Outcome(enum.Enum):
+    """Whether a request was run by its upstream."""
+
+    NOT_RUN = 0
+    RUN = 1
+    UNKNOWN = 2
+
+    @property
+    def label(self) -> str:
+        """Word used in headers and JSON, for example 'not-run'."""
+        return self.name.lower().replace('_', '-')
+
+
+class ErrorKind(enum.Enum):
+    """Every way in which a request can fail.
+
+    The numbers are part of the wire format and are never used again.
+    """
+
+    NONE = 0
+    BAD_REQUEST = 1
+    HEADERS_TOO_LARGE = 2
+    BODY_TOO_LARGE = 3
+    NO_ROUTE = 4
+    KEY_MISSING = 5
+    KEY_UNKNOWN = 6
+    CONTEXT_INVALID = 7
+    RATE_EXCEEDED = 8
+    OVERLOADED = 9
+    NO_UPSTREAM = 10
+    DEADLINE_PASSED = 11
+    ATTEMPTS_USED = 12
+    CONTROL_LOST = 13
+    QUARANTINED = 14
+    UPSTREAM_UNREACHABLE = 15
+    UPSTREAM_SHED = 16
+    UPSTREAM_LOST = 17
+    ANSWER_CUT = 18
+    ANSWER_TOO_LARGE = 19
+    UPSTREAM_TIMEOUT = 20
+    PEER_LOST = 21
+    CANCELLED = 22
+    OPERATION_INVALID = 23
+    OPERATION_EXPIRED = 24
+    OPERATION_RUNNING = 25
+    OPERATION_UNKNOWN = 26
+    OPERATION_MISMATCH = 27
+    OPERATION_RUN = 28
+    STOPPING = 29
+    INTERNAL = 30
+    NOT_LEADER = 31
+    NOT_ADMITTED = 32
+    BAD_MESSAGE = 33
+    NOT_FOUND = 34
+    PRIORITY_SHED = 35
+
+    @property
+    def label(self) -> str:
+        """Word used in headers, JSON and metrics, for example 'no_route'."""
+        return self.name.lower()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRule:
+    """How one error kind is told to the caller."""
+
+    # HTTP status.
+    status: int
+    # Whether the request was run.
+    outcome: Outcome
+    # Whether an entry node may send the request to another owner.
+    is_retryable: bool
+    # One sentence for people.
+    text: str
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_RUN = Outcome.RUN
+_UNKNOWN = Outcome.UNKNOWN
+
+ANSWERS: dict[ErrorKind, AnswerRule] = {
+    ErrorKind.NONE: AnswerRule(200, _RUN, False, 'The request was run.'),
+    ErrorKind.BAD_REQUEST: AnswerRule(
+        400, _NOT_RUN, False, 'The request is malformed.'
+    ),
+    ErrorKind.HEADERS_TOO_LARGE: AnswerRule(
+        431, _NOT_RUN, False, 'The request headers are too large.'
+    ),
+    ErrorKind.BODY_TOO_LARGE: AnswerRule(
+        413, _NOT_RUN, False, 'The request body is too large.'
+    ),
+    ErrorKind.NO_ROUTE: AnswerRule(
+        404, _NOT_RUN, False, 'No route matches the path and method.'
+    ),
+    ErrorKind.KEY_MISSING: AnswerRule(
+        401, _NOT_RUN, False, 'The route needs a key.'
+    ),
+    ErrorKind.KEY_UNKNOWN: AnswerRule(
+        403, _NOT_RUN, False, 'The key is unknown or withdrawn.'
+    ),
+    ErrorKind.CONTEXT_INVALID: AnswerRule(
+        403, _NOT_RUN, False, 'The context names no request running here.'
+    ),
+    ErrorKind.RATE_EXCEEDED: AnswerRule(
+        429, _NOT_RUN, False, 'The workspace has used its rate and burst.'
+    ),
+    ErrorKind.OVERLOADED: AnswerRule(
+        503, _NOT_RUN, True, 'The upstream has no free slot.'
+    ),
+    ErrorKind.PRIORITY_SHED: AnswerRule(
+        503, _NOT_RUN, True, 'The request gave way to other work.'
+    ),
+    ErrorKind.NO_UPSTREAM: AnswerRule(
+        503, _NOT_RUN, False, 'No upstream of the service is ready.'
+    ),
+    ErrorKind.DEADLINE_PASSED: AnswerRule(
+        504, _NOT_RUN, False, 'The deadline passed before the request ran.'
+    ),
+    ErrorKind.ATTEMPTS_USED: AnswerRule(
+        503, _NOT_RUN, False, 'The attempts of the call chain are used up.'
+    ),
+    ErrorKind.CONTROL_LOST: AnswerRule(
+        503, _NOT_RUN, False, 'The node is cut off from control.'
+    ),
+    ErrorKind.QUARANTINED: AnswerRule(
+        422, _NOT_RUN, False, 'This request crashed several upstreams.'
+    ),
+    ErrorKind.UPSTREAM_UNREACHABLE: AnswerRule(
+        503, _NOT_RUN, True, 'The upstream accepts no connection.'
+    ),
+    ErrorKind.UPSTREAM_SHED: AnswerRule(
+        503, _NOT_RUN, True, 'The upstream refused the request unrun.'
+    ),
+    ErrorKind.UPSTREAM_LOST: AnswerRule(
+        502, _UNKNOWN, True, 'The upstream closed before it answered.'
+    ),
+    ErrorKind.ANSWER_CUT: AnswerRule(
+        502, _UNKNOWN, True, 'The answer was cut short.'
+    ),
+    ErrorKind.ANSWER_TOO_LARGE: AnswerRule(
+        502, _RUN, False, 'The answer is larger than allowed.'
+    ),
+    ErrorKind.UPSTREAM_TIMEOUT: AnswerRule(
+        504, _UNKNOWN, False, 'The upstream did not answer in time.'
+    ),
+    ErrorKind.PEER_LOST: AnswerRule(
+        502, _UNKNOWN, True, 'The link to the owner node broke.'
+    ),
+    ErrorKind.CANCELLED: AnswerRule(
+        499, _UNKNOWN, False, 'The caller gave up.'
+    ),
+    ErrorKind.OPERATION_INVALID: AnswerRule(
+        400, _NOT_RUN, False, 'The operation id is not a valid UUIDv7.'
+    ),
+    ErrorKind.OPERATION_EXPIRED: AnswerRule(
+        409,
+        _NOT_RUN,
+        False,
+        'The operation id is older than its record is kept.',
+    ),
+    ErrorKind.OPERATION_RUNNING: AnswerRule(
+        409, _UNKNOWN, False, 'An earlier send of the operation is running.'
+    ),
+    ErrorKind.OPERATION_UNKNOWN: AnswerRule(
+        409,
+        _UNKNOWN,
+        False,
+        'An earlier send was dispatched and its outcome is not known.',
+    ),
+    ErrorKind.OPERATION_MISMATCH: AnswerRule(
+        422,
+        _NOT_RUN,
+        False,
+        'The operation id was used for another request.',
+    ),
+    ErrorKind.OPERATION_RUN: AnswerRule(
+        409,
+        _RUN,
+        False,
+        'The operation was run; its answer was too large to keep.',
+    ),
+    ErrorKind.STOPPING: AnswerRule(
+        503, _NOT_RUN, True, 'The process is stopping.'
+    ),
+    ErrorKind.INTERNAL: AnswerRule(
+        500, _UNKNOWN, False, 'The process met an unexpected error.'
+    ),
+    ErrorKind.NOT_LEADER: AnswerRule(
+        503, _NOT_RUN, True, 'The replica is not the leader.'
+    ),
+    ErrorKind.NOT_ADMITTED: AnswerRule(
+        403, _NOT_RUN, False, 'The peer does not know the fleet secret.'
+    ),
+    ErrorKind.BAD_MESSAGE: AnswerRule(
+        400, _NOT_RUN, False, 'The peer sent bytes that are no message.'
+    ),
+    ErrorKind.NOT_FOUND: AnswerRule(
+        404, _NOT_RUN, False, 'Nothing has this name.'
+    ),
+}
+
+
+class GodwitstallError(Exception):
+    """Base of all errors that the package raises on purpose.
+
+    Example: raise RequestError(ErrorKind.RATE_EXCEEDED, 'shop-3', 250)
+    """
+
+    def __init__(
+        self, kind: ErrorKind, detail: str = '', retry_after_ms: int = 0
+    ) -> None:
+        super().__init__(detail or ANSWERS[kind].text)
+        # Entry of the closed list.
+        self.kind = kind
+        # One sentence for people.
+        self.detail = detail or ANSWERS[kind].text
+        # When to come back, milliseconds; 0 when unknown.
+        self.retry_after_ms = retry_after_ms
+
+
+class RequestError(GodwitstallError):
+    """A caller's request is refused or failed."""
+
+
+class LinkError(GodwitstallError):
+    """A connection between two processes failed or sent garbage."""
+
+
+class ControlError(GodwitstallError):
+    """Control could not take a command or a read."""
+
+
+class SettingsError(Exception):
+    """Settings are wrong; each problem is one line for the operator."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__('\n'.join(problems))
+        # Lines of the form 'file: key: cause'.
+        self.problems = problems
+
+
+class StorageError(Exception):
+    """A file on disk is corrupt; the text says what to do."""
--- /dev/null
+++ b/godwitstall/logs.py
@@ -0,0 +1,40 @@
+"""Logging set-up shared by the programs.
+
+Each part logs through get('consensus') and the like; a line then starts with
+the fixed prefix of that part, for example '[consensus] Became leader.'.
+"""
+
+import logging
+import sys
+
+_ROOT = 'godwitstall'
+_FORMAT = '%(asctime)s %(levelname)s [%(part)s] %(message)s'
+
+
+class _PartFilter(logging.Filter):
+    """Derives the prefix of a part from the logger name."""
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        record.part = record.name.rpartition('.')[2]
+        return True
+
+
+def get(part: str) -> logging.Logger:
+    """Return the logger of one part, for example 'dispatch'."""
+    return logging.getLogger(f'{_ROOT}.{part}')
+
+
+def setup(level: str, part_levels: dict[str, str]) -> None:
+    """Send logs to standard error at the levels given in the settings.
+
+    Levels are names such as 'INFO'; part_levels overrides single parts.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter(_FORMAT))
+    handler.addFilter(_PartFilter())
+    root = logging.getLogger(_ROOT)
+    root.handlers = [handler]
+    root.propagate = False
+    root.setLevel(level)
+    for part, part_level in part_levels.items():
+        get(part).setLevel(part_level)
--- /dev/null
+++ b/godwitstall/metrics.py
@@ -0,0 +1,68 @@
+"""Counters, gauges and histograms of one process.
+
+A thin layer over aioprometheus: parts name a metric once and count with
+plain keyword labels. render() gives the text that /metrics serves.
+
+Example: REFUSED = metrics.counter('refused_total', 'Refused requests.')
+         REFUSED.inc(kind='rate_exceeded', workspace='shop-3')
+"""
+
+import typing
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+_PREFIX = 'godwitstall_'
+
+
+class Counter:
+    """A number that only grows, one for each set of labels."""
+
+    def __init__(self, name: str, text: str) -> None:
+        self.inner = collectors.Counter(_PREFIX + name, text)
+
+    def inc(self, amount: float = 1, **labels: str) -> None:
+        """Add amount to the value with these labels."""
+        self.inner.add(labels, amount)
+
+    def value(self, **labels: str) -> float:
+        """Return the value with these labels, 0 when never counted."""
+        try:
+            return float(typing.cast(float, self.inner.get(labels)))
+        except KeyError:
+            return 0.0
+
+
+class Gauge:
+    """A number that goes up and down, one for each set of labels."""
+
+    def __init__(self, name: str, text: str) -> None:
+        self.inner = collectors.Gauge(_PREFIX + name, text)
+
+    def set(self, value: float, **labels: str) -> None:
+        """Set the value with these labels."""
+        self.inner.set(labels, value)
+
+
+_counters: dict[str, Counter] = {}
+_gauges: dict[str, Gauge] = {}
+
+
+def counter(name: str, text: str) -> Counter:
+    """Return the counter of this name, made at the first call."""
+    if name not in _counters:
+        _counters[name] = Counter(name, text)
+    return _counters[name]
+
+
+def gauge(name: str, text: str) -> Gauge:
+    """Return the gauge of this name, made at the first call."""
+    if name not in _gauges:
+        _gauges[name] = Gauge(name, text)
+    return _gauges[name]
+
+
+def render() -> bytes:
+    """Return all metrics in the Prometheus text format."""
+    content, _ = renderer.render(collectors.REGISTRY, ['text/plain'])
+    return bytes(content)
--- /dev/null
+++ b/godwitstall/settings.py
@@ -0,0 +1,404 @@
+"""Settings of the programs: TOML files, checked in full before use.
+
+Each program has one options class; load() fills it from one table of the
+file and reports every problem as one line 'file: key: cause'. A key that is
+not an option, a value of the wrong type, a value out of range and options
+that contradict each other are problems.
+
+Example: options = settings.load(pathlib.Path('node.toml'), NodeOptions)
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import ipaddress
+import pathlib
+import tomllib
+import typing
+
+from godwitstall import errors
+from godwitstall import messages
+
+_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
+class LimitPolicy(enum.Enum):
+    """How the concurrency limit of an upstream is found."""
+
+    GRADIENT = 'gradient'
+    AIMD = 'aimd'
+    FIXED = 'fixed'
+
+
+@dataclasses.dataclass
+class LogOptions:
+    """The table [logs], the same for all programs."""
+
+    # Level of all parts: DEBUG, INFO, WARNING or ERROR.
+    level: str = 'INFO'
+    # Levels of single parts, for example {consensus = 'DEBUG'}.
+    parts: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class FleetOptions:
+    """The table [fleet], the same in every process of one fleet."""
+
+    # Name of the fleet; a control process refuses a disk of another one.
+    name: str
+    # File with the secret that all processes of the fleet share.
+    secret_file: str
+    # Links of all control processes by replica slot, 'host:port'.
+    control: dict[str, str]
+
+    def secret(self) -> bytes:
+        """Return the shared secret without the white space around it."""
+        return pathlib.Path(self.secret_file).read_bytes().strip()
+
+
+@dataclasses.dataclass
+class NodeOptions:
+    """The table [node] of godwitstall-node."""
+
+    # Id, unique in the fleet and kept over restarts.
+    node_id: messages.NodeId
+    # Availability zone.
+    zone: str
+    # Region.
+    region: str
+    # Where other nodes connect, 'host:port'.
+    link_address: str
+    # Where callers connect, 'host:port'.
+    caller_address: str
+    # Where the own upstream connects, 'host:port'; loopback or the own VM.
+    upstream_address: str
+    # Where metrics and dumps are served, 'host:port'.
+    admin_address: str
+    # Service that the own upstream may announce.
+    service: messages.ServiceName
+    # Time a confirmed state may be used without control, seconds.
+    lease_s: float = 4.0
+    # Time between heartbeats to control, seconds.
+    heartbeat_s: float = 1.0
+    # Time between token requests to the ledger, milliseconds.
+    grant_interval_ms: int = 200
+    # Longest wait of a call for a token, milliseconds.
+    grant_wait_ms: int = 300
+    # Largest request body, bytes.
+    max_body_bytes: int = 1024 * 1024
+    # Largest answer body, bytes.
+    max_answer_bytes: int = 1024 * 1024
+    # Largest request line and headers together, bytes.
+    max_header_bytes: int = 32 * 1024
+    # Most requests that wait for the own upstream.
+    max_queue: int = 1000
+    # Longest wait for the own upstream, milliseconds.
+    max_queue_wait_ms: int = 500
+    # How the concurrency limit is found: gradient, aimd or fixed.
+    limit_policy: LimitPolicy = LimitPolicy.GRADIENT
+    # Time over which a new upstream gets its full share of work, seconds.
+    warmup_s: float = 10.0
+    # Retries allowed for each call of a service, 0 to 1.
+    retry_ratio: float = 0.1
+    # Retries a second that a service may always have.
+    retry_min_per_s: float = 1.0
+    # Silence after which an announcement ends, seconds.
+    announce_timeout_s: float = 3.0
+    # Time between probes of the own upstream, seconds.
+    probe_interval_s: float = 1.0
+    # Most open connections to the own upstream; 0 means as announced.
+    max_connections: int = 0
+    # Default deadline of a call without one, milliseconds.
+    default_deadline_ms: int = 10_000
+    # Longest time for running calls at a planned stop, seconds.
+    stop_timeout_s: float = 30.0
+    # Relays without limits and with naive retries, for comparison runs.
+    is_pass_through: bool = False
+
+
+@dataclasses.dataclass
+class ControlOptions:
+    """The table [control] of godwitstall-control."""
+
+    # Replica slot, a key of [fleet.control].
+    slot: messages.SlotId
+    # Availability zone.
+    zone: str
+    # Region.
+    region: str
+    # Where metrics and dumps are served, 'host:port'.
+    admin_address: str
+    # Data folder on the disk.
+    data_folder: str
+    # Shortest time without a leader before an election, seconds.
+    election_min_s: float = 1.0
+    # Longest time without a leader before an election, seconds.
+    election_max_s: float = 2.0
+    # Time between the leader's heartbeats, milliseconds.
+    append_interval_ms: int = 150
+    # Leader lease after a round that a majority acknowledged, seconds.
+    leader_lease_s: float = 0.8
+    # Log entries between two snapshots.
+    snapshot_entries: int = 4096
+    # Silence after which a member is removed, seconds.
+    member_timeout_s: float = 3.0
+    # Time an operation record is kept, seconds.
+    operation_lifetime_s: float = 86_400.0
+    # Time a token may be spent after it was asked for, milliseconds.
+    grant_lifetime_ms: int = 1000
+    # Crashes after which a request is quarantined.
+    crash_threshold: int = 3
+    # Time a quarantine lasts, seconds.
+    quarantine_lifetime_s: float = 86_400.0
+
+
+_Options = typing.TypeVar('_Options')
+
+_RANGES: dict[str, tuple[float, float]] = {
+    'lease_s': (0.1, 6.0),
+    'heartbeat_s': (0.05, 5.0),
+    'grant_interval_ms': (10, 5000),
+    'grant_wait_ms': (0, 10_000),
+    'max_body_bytes': (1024, 8 * 1024 * 1024),
+    'max_answer_bytes': (1024, 8 * 1024 * 1024),
+    'max_header_bytes': (1024, 1024 * 1024),
+    'max_queue': (1, 1_000_000),
+    'max_queue_wait_ms': (1, 600_000),
+    'warmup_s': (0, 3600),
+    'retry_ratio': (0, 1),
+    'retry_min_per_s': (0, 10_000),
+    'announce_timeout_s': (0.1, 5.0),
+    'probe_interval_s': (0.05, 5.0),
+    'max_connections': (0, 100_000),
+    'default_deadline_ms': (1, 3_600_000),
+    'stop_timeout_s': (0, 3600),
+    'election_min_s': (0.05, 60),
+    'election_max_s': (0.05, 120),
+    'append_interval_ms': (5, 10_000),
+    'leader_lease_s': (0.01, 60),
+    'snapshot_entries': (16, 10_000_000),
+    'member_timeout_s': (0.2, 5.0),
+    'operation_lifetime_s': (60, 31 * 86_400),
+    'grant_lifetime_ms': (50, 60_000),
+    'crash_threshold': (1, 100),
+    'quarantine_lifetime_s': (1, 31 * 86_400),
+}
+
+
+def load(
+    path: pathlib.Path, kind: type[_Options]
+) -> tuple[FleetOptions, _Options, LogOptions]:
+    """Return the tables [fleet], the program's own and [logs] of a file.
+
+    Errors: SettingsError with one line for each problem found.
+    """
+    tables = _read(path)
+    own = 'node' if kind is NodeOptions else 'control'
+    problems = [
+        f'{path}: {name}: unknown table'
+        for name in tables
+        if name not in ('fleet', 'logs', own)
+    ]
+    fleet = _fill(path, tables, 'fleet', FleetOptions, problems)
+    options = _fill(path, tables, own, kind, problems)
+    log_options = _fill(path, tables, 'logs', LogOptions, problems)
+    if log_options is not None:
+        problems += _level_problems(path, log_options)
+    if fleet is not None:
+        problems += _fleet_problems(path, fleet)
+    if options is not None:
+        match options:
+            case NodeOptions():
+                problems += _node_problems(path, options)
+            case ControlOptions():
+                problems += _control_problems(path, options, fleet)
+    if problems or fleet is None or options is None or log_options is None:
+        raise errors.SettingsError(problems)
+    return fleet, options, log_options
+
+
+def _read(path: pathlib.Path) -> dict[str, typing.Any]:
+    try:
+        return tomllib.loads(path.read_text('utf-8'))
+    except OSError as e:
+        raise errors.SettingsError(
+            [f'{path}: cannot be read: {e.strerror}']
+        ) from e
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        raise errors.SettingsError([f'{path}: is no TOML: {e}']) from e
+
+
+def _fill(
+    path: pathlib.Path,
+    tables: dict[str, typing.Any],
+    name: str,
+    kind: type[_Options],
+    problems: list[str],
+) -> _Options | None:
+    table = tables.get(name, {})
+    if not isinstance(table, dict):
+        problems.append(f'{path}: {name}: must be a table')
+        return None
+    known = {
+        field.name: field
+        for field in dataclasses.fields(typing.cast(typing.Any, kind))
+    }
+    hints = typing.get_type_hints(kind)
+    found: list[str] = []
+    values = {}
+    for key, value in table.items():
+        where = f'{path}: {name}.{key}'
+        if key not in known:
+            found.append(f'{where}: unknown key{_hint(key, known)}')
+            continue
+        try:
+            values[key] = _convert(hints[key], value)
+            _check_range(key, values[key])
+        except ValueError as e:
+            found.append(f'{where}: {e}')
+    for key, field in known.items():
+        is_required = (
+            field.default is dataclasses.MISSING
+            and field.default_factory is dataclasses.MISSING
+        )
+        if is_required and key not in table:
+            found.append(f'{path}: {name}.{key}: is missing')
+    problems += found
+    return None if found else kind(**values)
+
+
+def _hint(key: str, known: collections.abc.Iterable[str]) -> str:
+    """Return a hint when only the unit differs, for example lease_ms."""
+    stem = key.rpartition('_')[0] or key
+    for name in known:
+        if name.rpartition('_')[0] in (stem, key):
+            return f'; did you mean {name}?'
+    return ''
+
+
+def _convert(hint: typing.Any, value: typing.Any) -> typing.Any:
+    kind = getattr(hint, '__supertype__', hint)
+    if kind is float:
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise ValueError(f'must be a number, not {value!r}')
+        return float(value)
+    if kind is int:
+        if isinstance(value, bool) or not isinstance(value, int):
+            raise ValueError(f'must be a whole number, not {value!r}')
+        return value
+    if kind in (str, bool):
+        if not isinstance(value, kind) or value == '':
+            word = 'text' if kind is str else 'true or false'
+            raise ValueError(f'must be {word}, not {value!r}')
+        return value
+    if typing.get_origin(kind) is dict:
+        if not isinstance(value, dict) or not all(
+            isinstance(item, str) for item in value.values()
+        ):
+            raise ValueError('must be a table of texts')
+        return value
+    choices = [member.value for member in kind]
+    if value not in choices:
+        raise ValueError(f'must be one of {", ".join(choices)}, not {value!r}')
+    return kind(value)
+
+
+def _check_range(key: str, value: typing.Any) -> None:
+    if key.endswith('_address'):
+        check_address(value)
+    if key in _RANGES:
+        low, high = _RANGES[key]
+        if not low <= value <= high:
+            raise ValueError(f'must be from {low} to {high}, not {value}')
+
+
+def check_address(value: str) -> None:
+    """Raise ValueError unless value is 'IP number:port'."""
+    host, _, port = value.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+    except ValueError as e:
+        raise ValueError(
+            f'must be an IP number and a port, not {value!r}'
+        ) from e
+    if not port.isdecimal() or not 1 <= int(port) <= 65_535:
+        raise ValueError(f'has no port from 1 to 65535: {value!r}')
+
+
+def _level_problems(path: pathlib.Path, options: LogOptions) -> list[str]:
+    levels = {'level': options.level}
+    levels |= {f'parts.{part}': lv for part, lv in options.parts.items()}
+    return [
+        f'{path}: logs.{key}: must be one of {", ".join(_LEVELS)}'
+        for key, level in levels.items()
+        if level not in _LEVELS
+    ]
+
+
+def _fleet_problems(path: pathlib.Path, fleet: FleetOptions) -> list[str]:
+    problems = []
+    for slot, address in fleet.control.items():
+        try:
+            check_address(address)
+        except ValueError as e:
+            problems.append(f'{path}: fleet.control.{slot}: {e}')
+    if len(fleet.control) not in (1, 3, 5, 7):
+        problems.append(
+            f'{path}: fleet.control: needs 1, 3, 5 or 7 replicas, '
+            f'not {len(fleet.control)}'
+        )
+    if len(set(fleet.control.values())) != len(fleet.control):
+        problems.append(f'{path}: fleet.control: an address stands twice')
+    try:
+        if len(fleet.secret()) < 16:
+            problems.append(
+                f'{path}: fleet.secret_file: needs at least 16 bytes'
+            )
+    except OSError as e:
+        problems.append(
+            f'{path}: fleet.secret_file: cannot be read: {e.strerror}'
+        )
+    return problems
+
+
+def _node_problems(path: pathlib.Path, options: NodeOptions) -> list[str]:
+    problems = []
+    if options.heartbeat_s * 2 > options.lease_s:
+        problems.append(
+            f'{path}: node.lease_s: must be at least twice heartbeat_s'
+        )
+    addresses = [
+        options.link_address,
+        options.caller_address,
+        options.upstream_address,
+        options.admin_address,
+    ]
+    if len(set(addresses)) != len(addresses):
+        problems.append(f'{path}: node: two addresses are the same')
+    return problems
+
+
+def _control_problems(
+    path: pathlib.Path,
+    options: ControlOptions,
+    fleet: FleetOptions | None,
+) -> list[str]:
+    problems = []
+    if fleet is not None and options.slot not in fleet.control:
+        problems.append(
+            f'{path}: control.slot: {options.slot!r} is not in fleet.control'
+        )
+    if options.election_max_s <= options.election_min_s:
+        problems.append(
+            f'{path}: control.election_max_s: must be above election_min_s'
+        )
+    if options.leader_lease_s >= options.election_min_s:
+        problems.append(
+            f'{path}: control.leader_lease_s: must be below election_min_s'
+        )
+    if options.append_interval_ms * 3 > options.leader_lease_s * 1000:
+        problems.append(
+            f'{path}: control.append_interval_ms: must fit three times '
+            f'into leader_lease_s'
+        )
+    return problems
--- /dev/null
+++ b/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load generation and measurement."""
--- /dev/null
+++ b/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Upstream stand-in for demos, tests and measurements."""
--- /dev/null
+++ b/tests/base/test_messages.py
@@ -0,0 +1,50 @@
+"""Messages: the data classes and the schema must not drift apart."""
+
+import dataclasses
+
+import pytest
+
+from godwitstall import errors
+from godwitstall import messages
+
+_SAMPLES: list[messages.Message] = [
+    messages.Call(call_id=7, service=messages.ServiceName('a'), body=b'xy'),
+    messages.Answer(
+        call_id=7,
+        kind=errors.ErrorKind.OVERLOADED,
+        load=messages.LoadReport(1, 2, 3, messages.UpstreamState.READY),
+    ),
+    messages.StateUpdate(
+        members=[messages.Member(node_id=messages.NodeId('n1'))],
+        removed_members=['n2'],
+    ),
+]
+
+_GARBAGE = [b'', b'x', b'\0' * 48, b'\xff' * 64]
+
+
+@pytest.mark.parametrize('sample', _SAMPLES, ids=lambda s: type(s).__name__)
+def test_round_trip(sample: messages.Message) -> None:
+    """Guards against a field that is lost or changed on the wire."""
+    assert messages.decode(messages.encode(sample)) == sample
+
+
+def test_every_message_encodes() -> None:
+    """Guards against a data class whose fields the schema does not have."""
+    for kind in messages.KINDS.values():
+        message = kind()
+        assert messages.decode(messages.encode(message)) == message
+        assert dataclasses.is_dataclass(message)
+
+
+@pytest.mark.parametrize('data', _GARBAGE)
+def test_garbage_is_refused(data: bytes) -> None:
+    """Guards against an unhandled codec exception."""
+    with pytest.raises(errors.LinkError) as caught:
+        messages.decode(data)
+    assert caught.value.kind is errors.ErrorKind.BAD_MESSAGE
+
+
+def test_every_kind_has_an_answer() -> None:
+    """Guards against an error kind that no caller could be told of."""
+    assert set(errors.ANSWERS) == set(errors.ErrorKind)
