Add the first version of limits, routing and rates

Cause: owner and entry nodes need concurrency limits, a fair queue, retry budgets, a route table, a choice of owner and rate tokens. Ruled out: judging a node's tokens by expiry alone; with outstanding bounded to half the burst, that bounds the rate to half the burst a second. Change: the three slices; Want gets number, returned and waiting. The number lets the ledger drop a stale request, whose held is no longer true.

--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -66,7 +66,10 @@
   removedMembers @5 :List(Text); hasQuarantines @6 :Bool;
   quarantines @7 :List(Quarantine);
 }
-struct Want { workspace @0 :Text; held @1 :UInt32; wanted @2 :UInt32; }
+struct Want {
+  workspace @0 :Text; held @1 :UInt32; wanted @2 :UInt32;
+  number @3 :UInt64; returned @4 :UInt32; waiting @5 :UInt32;
+}
 struct Grant { workspace @0 :Text; tokens @1 :UInt32; retryAfterMs @2 :UInt32; }
 struct GrantRequest {
   seq @0 :UInt64; nodeId @1 :Text; incarnation @2 :UInt64;
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -418,6 +418,13 @@
     held: int = 0
     # Tokens asked for.
     wanted: int = 0
+    # Number of the request in its process. The ledger drops a request that
+    # an older replica delivers late: its held is no longer true.
+    number: int = 0
+    # Unspent tokens that the node gives up with this request.
+    returned: int = 0
+    # Part of wanted for calls that wait now; the rest is ahead of demand.
+    waiting: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- /dev/null
+++ b/godwitstall/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rate tokens: the ledger at the leader and the allowance at a node."""
--- /dev/null
+++ b/godwitstall/routing/view.py
@@ -0,0 +1,113 @@
+"""A node's view of the replicated state.
+
+The control session feeds it with the StateUpdate messages of one control
+replica. After a move to a replica that is behind, updates older than what is
+held are refused, so that accepted configuration never reverts (R10).
+
+Example: view.apply(messages.StateUpdate(index=7, is_full=True)) is True
+"""
+
+import collections.abc
+
+from godwitstall import messages
+from godwitstall.routing import table
+
+
+class View:
+    """Configuration, members and quarantines at one log index."""
+
+    def __init__(self) -> None:
+        # Log index of the last update; -1 before the first full one.
+        self.index = -1
+        # Number of the release note in force.
+        self.number = 0
+        # Routes in force.
+        self.routes = table.RouteTable([])
+        # Members by node id.
+        self.members: dict[messages.NodeId, messages.Member] = {}
+        # Workspaces by name.
+        self.workspaces: dict[str, messages.Workspace] = {}
+        # Called without arguments after each update that was applied.
+        self.on_change: list[collections.abc.Callable[[], None]] = []
+        self._keys_by_digest: dict[str, messages.Key] = {}
+        self._keys_by_id: dict[messages.KeyId, messages.Key] = {}
+        self._rules: dict[str, messages.UpstreamRule] = {}
+        self._by_service: dict[str, list[messages.Member]] = {}
+        self._quarantined: set[bytes] = set()
+        self._suspects: set[bytes] = set()
+
+    def apply(self, update: messages.StateUpdate) -> bool:
+        """Take over an update; return False when it is older than held.
+
+        A change is also refused before the first full update, because a
+        part of the state could pass for all of it.
+        """
+        if update.index < self.index:
+            return False
+        if not update.is_full and self.index < 0:
+            return False
+        self.index = update.index
+        if update.has_configuration or update.is_full:
+            self._set_configuration(update.configuration)
+        if update.is_full:
+            self.members = {}
+        for node_id in update.removed_members:
+            self.members.pop(messages.NodeId(node_id), None)
+        for member in update.members:
+            self.members[member.node_id] = member
+        if update.is_full or update.members or update.removed_members:
+            self._by_service = {}
+            for member in self.members.values():
+                self._by_service.setdefault(member.service, []).append(member)
+        if update.has_quarantines or update.is_full:
+            self._quarantined = {
+                entry.fingerprint
+                for entry in update.quarantines
+                if entry.is_quarantined
+            }
+            self._suspects = {
+                entry.fingerprint
+                for entry in update.quarantines
+                if not entry.is_quarantined
+            }
+        for callback in self.on_change:
+            callback()
+        return True
+
+    def members_of(self, service: str) -> list[messages.Member]:
+        """Return all members of a service, in whatever state."""
+        return self._by_service.get(service, [])
+
+    def key_by_digest(self, digest: str) -> messages.Key | None:
+        """Return the key with a SHA-256 digest in hex."""
+        return self._keys_by_digest.get(digest)
+
+    def key_by_id(self, key_id: messages.KeyId) -> messages.Key | None:
+        """Return the key with an id."""
+        return self._keys_by_id.get(key_id)
+
+    def upstream_rule(
+        self, node_id: messages.NodeId
+    ) -> messages.UpstreamRule | None:
+        """Return what the operator says of the upstream beside a node."""
+        return self._rules.get(node_id)
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether requests with this fingerprint are refused."""
+        return fingerprint in self._quarantined
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Return whether such requests run one at a time."""
+        return fingerprint in self._suspects
+
+    def _set_configuration(
+        self, configuration: messages.Configuration
+    ) -> None:
+        self.number = configuration.number
+        self.routes = table.RouteTable(configuration.routes)
+        self.workspaces = {
+            workspace.name: workspace for workspace in configuration.workspaces
+        }
+        self._keys_by_digest = {key.digest: key for key in configuration.keys}
+        self._keys_by_id = {key.key_id: key for key in configuration.keys}
+        self._rules = {rule.name: rule for rule in configuration.upstreams}
--- /dev/null
+++ b/tests/rates/test_invariant.py
@@ -0,0 +1,240 @@
+"""Requirement R4: no window has more spends than burst + rate x window.
+
+A state machine runs real allowances against real ledgers while messages are
+late, doubled, reordered and lost, nodes join and die, leaders change and the
+configuration changes. It keeps every spend and checks every window.
+"""
+
+import asyncio
+import dataclasses
+import os
+from unittest import mock
+
+from hypothesis import settings as hypothesis_settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from godwitstall import clock
+from godwitstall import messages
+from godwitstall.rates import allowance
+from godwitstall.rates import ledger
+
+_LIFETIME_S = 1.0
+_NAME = messages.WorkspaceName('w')
+_NODES = 4
+_IS_SOAK = 'GODWITSTALL_SOAK' in os.environ
+
+# (rate, burst)
+_LIMITS = [
+    (0.5, 1),
+    (20.0, 1),
+    (5.0, 2),
+    (1.0, 3),
+    (4.0, 8),
+    (40.0, 20),
+    (0.0, 5),
+]
+
+
+@dataclasses.dataclass
+class _Node:
+    incarnation: int
+    tokens: allowance.Allowance
+    tasks: list[asyncio.Task[None]] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class _Request:
+    name: str
+    node: _Node
+    sent_at: float
+    wants: list[messages.Want]
+    grants: list[messages.Grant] | None = None
+
+
+class RateMachine(stateful.RuleBasedStateMachine):
+    """Nodes, ledgers, and the messages between them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 10.0
+        self.loop = asyncio.new_event_loop()
+        self.patch = mock.patch.object(clock, 'now', lambda: self.now)
+        self.patch.start()
+        self.spends: list[float] = []
+        # (start, rate, burst), oldest first.
+        self.limits: list[tuple[float, float, int]] = []
+        self.ledgers = [ledger.Ledger(_LIFETIME_S) for _ in range(3)]
+        self.leader = self.ledgers[0]
+        self.nodes: dict[str, _Node] = {}
+        self.requests: list[_Request] = []
+        self.replies: list[_Request] = []
+
+    def teardown(self) -> None:
+        for node in self.nodes.values():
+            for task in node.tasks:
+                task.cancel()
+        self._step()
+        self.loop.close()
+        self.patch.stop()
+
+    @stateful.initialize(
+        limit=strategies.sampled_from(_LIMITS), is_new=strategies.booleans()
+    )
+    def begin(self, limit: tuple[float, int], is_new: bool) -> None:
+        self.leader.start_term(0.0)
+        self._configure(limit, {_NAME} if is_new else set())
+        for i in range(_NODES):
+            self._start(f'n{i}', 1)
+
+    @stateful.rule(step=strategies.sampled_from([0.01, 0.2, 0.45, 0.6, 2.5]))
+    def wait(self, step: float) -> None:
+        self.now += step
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def take_all(self, i: int) -> None:
+        """A burst of calls that spends all that the node has."""
+        node = self.nodes[f'n{i}']
+        for _ in range(30):
+            if not node.tokens.try_take(_NAME, self.now):
+                break
+            self._spent()
+
+    @stateful.rule(
+        i=strategies.integers(0, _NODES - 1), count=strategies.integers(1, 12)
+    )
+    def call(self, i: int, count: int) -> None:
+        """Calls that wait for tokens."""
+        node = self.nodes[f'n{i}']
+        for _ in range(count):
+            take = node.tokens.take(_NAME, self.now + 1e6)
+            node.tasks.append(self.loop.create_task(take))
+        self._step()
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def give_up(self, i: int) -> None:
+        for task in self.nodes[f'n{i}'].tasks[:2]:
+            task.cancel()
+        self._step()
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def ask(self, i: int) -> None:
+        node = self.nodes[f'n{i}']
+        wants = node.tokens.next_wants(self.now)
+        if wants:
+            self.requests.append(_Request(f'n{i}', node, self.now, wants))
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def exchange(self, i: int) -> None:
+        """A round trip without faults."""
+        self.ask(i)
+        if self.requests and self.requests[-1].name == f'n{i}':
+            self.arrive(len(self.requests) - 1, False)
+            self.reply(len(self.replies) - 1)
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(k=strategies.integers(0, 9), is_kept=strategies.booleans())
+    def arrive(self, k: int, is_kept: bool) -> None:
+        """A request reaches the leader; a kept one comes again later."""
+        k %= len(self.requests)
+        request = self.requests[k]
+        if not is_kept:
+            self.requests.pop(k)
+        grants = self.leader.grant(
+            request.name, request.node.incarnation, request.wants, self.now
+        )
+        self.replies.append(dataclasses.replace(request, grants=grants))
+
+    @stateful.precondition(lambda self: self.replies)
+    @stateful.rule(k=strategies.integers(0, 9))
+    def reply(self, k: int) -> None:
+        reply = self.replies.pop(k % len(self.replies))
+        assert reply.grants is not None
+        reply.node.tokens.on_reply(
+            reply.sent_at, reply.wants, reply.grants, self.now
+        )
+        self._step()
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def lose(self, i: int) -> None:
+        """A node waits no longer; request and reply may still arrive."""
+        self.nodes[f'n{i}'].tokens.on_lost()
+
+    @stateful.rule(i=strategies.integers(0, _NODES - 1))
+    def restart(self, i: int) -> None:
+        node = self.nodes[f'n{i}']
+        for task in node.tasks:
+            task.cancel()
+        self._step()
+        self._start(f'n{i}', node.incarnation + 1)
+
+    @stateful.rule(k=strategies.integers(0, 2))
+    def change_leader(self, k: int) -> None:
+        _, rate, burst = self.limits[-1]
+        self.leader = self.ledgers[k]
+        self.leader.start_term(self.now)
+        self._apply(rate, burst, set())
+
+    @stateful.rule(limit=strategies.sampled_from(_LIMITS))
+    def change_limit(self, limit: tuple[float, int]) -> None:
+        self._configure(limit, {_NAME})
+
+    def _start(self, name: str, incarnation: int) -> None:
+        self.nodes[name] = _Node(
+            incarnation, allowance.Allowance(_LIFETIME_S, 1e6)
+        )
+
+    def _configure(self, limit: tuple[float, int], new: set[str]) -> None:
+        self.limits.append((self.now, *limit))
+        self._apply(*limit, new)
+
+    def _apply(self, rate: float, burst: int, new: set[str]) -> None:
+        workspace = messages.Workspace(_NAME, rate, burst)
+        self.leader.set_workspaces([workspace], self.now, new)
+
+    def _step(self) -> None:
+        """Let the waiting calls run on, and count those that got a token."""
+        for _ in range(3):
+            self.loop.run_until_complete(asyncio.sleep(0))
+        for node in self.nodes.values():
+            done = [task for task in node.tasks if task.done()]
+            node.tasks = [task for task in node.tasks if not task.done()]
+            for task in done:
+                if not task.cancelled() and task.exception() is None:
+                    self._spent()
+
+    def _spent(self) -> None:
+        """Check every window that ends with this spend."""
+        self.spends.append(self.now)
+        count = 0
+        for start in reversed(self.spends):
+            count += 1
+            bound = self._burst(start) + self._refill(start)
+            assert count <= bound + 1e-6, (
+                f'{count} spends from {start} to {self.now}, bound {bound}'
+            )
+
+    def _burst(self, start: float) -> int:
+        """Return the largest burst whose tokens can be alive at start."""
+        ends = [limit[0] for limit in self.limits[1:]] + [self.now + 1]
+        return max(
+            burst
+            for (begin, _, burst), end in zip(self.limits, ends)
+            if begin <= start and end >= start - _LIFETIME_S
+        )
+
+    def _refill(self, start: float) -> float:
+        ends = [limit[0] for limit in self.limits[1:]] + [self.now]
+        return sum(
+            rate * max(min(end, self.now) - max(begin, start), 0.0)
+            for (begin, rate, _), end in zip(self.limits, ends)
+        )
+
+
+RateMachine.TestCase.settings = hypothesis_settings(
+    max_examples=3000 if _IS_SOAK else 150,
+    stateful_step_count=120 if _IS_SOAK else 60,
+    deadline=None,
+    derandomize=True,
+)
+TestRateMachine = RateMachine.TestCase
