--- /dev/null
+++ b/godwitstall/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log of the control processes."""
--- /dev/null
+++ b/godwitstall/consensus/peer.py
@@ -0,0 +1,220 @@
+"""The leader's side of replication to one other replica.
+
+Each replica opens one link to each other one and keeps it in every role:
+votes, appends and forwarded requests go over it. One request is open at a
+time; entries proposed meanwhile go together with the next one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import typing
+
+from godwitstall import clock
+from godwitstall.consensus import storage
+from godwitstall import errors
+from godwitstall import link as links
+from godwitstall import logs
+from godwitstall import messages
+
+if typing.TYPE_CHECKING:
+    from godwitstall.consensus import replica as replicas
+
+_LOG = logs.get('consensus')
+
+# Bounds of one append request. The bytes keep a heartbeat behind it short.
+_MAX_ENTRIES = 512
+_MAX_BYTES = 1024 * 1024
+
+_CHUNK_BYTES = 256 * 1024
+
+# Time for a follower to write and load a whole snapshot, seconds.
+_INSTALL_TIMEOUT_S = 30.0
+
+
+async def _ignore(message: messages.Message) -> None:
+    """Drop what a peer sends on its own; it answers only."""
+
+
+class Peer:
+    """Link to and replication state of one other replica."""
+
+    def __init__(
+        self, replica: replicas.Replica, slot: messages.SlotId, address: str
+    ) -> None:
+        self.replica = replica
+        self.slot = slot
+        self.address = address
+        # Open link, None while there is none.
+        self.link: links.Link | None = None
+        # Disk that answered last.
+        self.disk_id = messages.DiskId('')
+        # Next entry to send, and the highest one known to be on its disk.
+        self.next_index = 1
+        self.match_index = 0
+        # Its log held all entries of the leader when a request was sent.
+        self.is_caught_up = False
+        # Send time of the last request it answered in this term, seconds.
+        self.acked_at = -1.0
+        # Set when there is something to send.
+        self.wake = asyncio.Event()
+
+    def reset(self, next_index: int) -> None:
+        """Forget what was known; called by a new leader."""
+        self.next_index = next_index
+        self.match_index = 0
+        self.is_caught_up = False
+        self.acked_at = -1.0
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Keep a link open and replicate while this replica leads."""
+        pause_s = self.replica.options.append_interval_ms / 1000
+        while True:
+            try:
+                link = await links.connect(self.address, self.replica.identity)
+            except errors.LinkError as e:
+                _LOG.debug('No link to %s: %s', self.slot, e)
+                await asyncio.sleep(pause_s)
+                continue
+            self.link = link
+            reader = asyncio.create_task(link.run(_ignore))
+            reader.add_done_callback(lambda _: self.wake.set())
+            try:
+                while not link.is_closed:
+                    await self._work(link)
+            except errors.LinkError as e:
+                _LOG.debug('Link to %s failed: %s', self.slot, e)
+            finally:
+                self.link = None
+                link.close()
+                reader.cancel()
+            await asyncio.sleep(pause_s)
+
+    async def _work(self, link: links.Link) -> None:
+        has_more = False
+        interval_s = None
+        self.wake.clear()
+        if self.replica.is_leader:
+            interval_s = self.replica.options.append_interval_ms / 1000
+            try:
+                has_more = await self._replicate(link)
+            except errors.ControlError as e:
+                _LOG.warning('Replica %s refused: %s', self.slot, e)
+        if not has_more:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self.wake.wait()
+
+    async def _replicate(self, link: links.Link) -> bool:
+        """Send one request; return whether another is due at once."""
+        log = self.replica.log
+        previous = self.next_index - 1
+        previous_term = log.term_at(previous)
+        if previous + 1 < log.first_index or previous_term is None:
+            await self._send_snapshot(link)
+            return True
+        entries = []
+        size = 0
+        for entry in log.between(previous + 1, previous + _MAX_ENTRIES):
+            entries.append(entry)
+            size += len(entry.command)
+            if size >= _MAX_BYTES:
+                break
+        last_index = log.last_index
+        term = self.replica.term
+        sent_at = clock.now()
+        reply = await link.request(
+            messages.AppendRequest(
+                term=term,
+                slot=self.replica.slot,
+                previous_index=previous,
+                previous_term=previous_term,
+                entries=entries,
+                commit_index=self.replica.commit_index,
+            ),
+            self.replica.options.election_max_s,
+        )
+        if not isinstance(reply, messages.AppendReply) or not self._take(
+            reply.term, term, reply.disk_id, sent_at
+        ):
+            return False
+        if reply.is_success:
+            self.match_index = max(self.match_index, reply.match_index)
+            self.next_index = previous + len(entries) + 1
+            self.is_caught_up = self.next_index > last_index
+        else:
+            self.next_index = max(1, min(previous, reply.match_index + 1))
+        self.replica.on_ack()
+        return self.replica.is_leader and (
+            not reply.is_success or self.next_index <= log.last_index
+        )
+
+    def _take(
+        self,
+        reply_term: int,
+        term: int,
+        disk_id: messages.DiskId,
+        sent_at: float,
+    ) -> bool:
+        """Return whether a reply belongs to the term that asked."""
+        if reply_term > self.replica.term:
+            self.replica.observe_term(reply_term)
+        if self.replica.term != term or not self.replica.is_leader:
+            return False
+        if disk_id != self.disk_id:
+            # What the former disk had stored says nothing about this one.
+            self.match_index = 0
+            self.is_caught_up = False
+            self.disk_id = disk_id
+        self.acked_at = max(self.acked_at, sent_at)
+        return True
+
+    async def _send_snapshot(self, link: links.Link) -> None:
+        folder = self.replica.folder
+        data = await asyncio.to_thread(storage.read_snapshot, folder)
+        if data is None:
+            raise errors.LinkError(
+                errors.ErrorKind.INTERNAL, 'There is no snapshot to send.'
+            )
+        header, _ = storage.unpack_snapshot(data, 'The newest snapshot')
+        _LOG.info(
+            'Sends the snapshot of entry %d, %d bytes, to %s.',
+            header.last_index,
+            len(data),
+            self.slot,
+        )
+        term = self.replica.term
+        offset = 0
+        while offset < len(data):
+            sent_at = clock.now()
+            chunk = data[offset : offset + _CHUNK_BYTES]
+            is_last = offset + len(chunk) == len(data)
+            reply = await link.request(
+                messages.SnapshotChunk(
+                    term=term,
+                    slot=self.replica.slot,
+                    last_index=header.last_index,
+                    last_term=header.last_term,
+                    offset=offset,
+                    is_last=is_last,
+                    data=chunk,
+                ),
+                _INSTALL_TIMEOUT_S
+                if is_last
+                else self.replica.options.election_max_s,
+            )
+            if not isinstance(reply, messages.SnapshotReply) or not self._take(
+                reply.term, term, reply.disk_id, sent_at
+            ):
+                return
+            if reply.next_offset == offset:
+                raise errors.LinkError(
+                    errors.ErrorKind.INTERNAL, 'The snapshot was refused.'
+                )
+            offset = min(reply.next_offset, len(data))
+            self.replica.on_ack()
+        self.match_index = max(self.match_index, header.last_index)
+        self.next_index = header.last_index + 1
+        self.replica.on_ack()
