Add the upstream stand-in

Cause: demos, tests and measurements need an upstream that drains, starts cold, sheds, cancels, lies about its load and fails on demand, and that knows how often each request was run.

--- /dev/null
+++ b/standin/__main__.py
@@ -0,0 +1,5 @@
+"""python -m standin."""
+
+from standin import program
+
+program.main()
--- /dev/null
+++ b/standin/program.py
@@ -0,0 +1,187 @@
+"""Runs one stand-in: listener, announcements, draining on SIGTERM.
+
+Example: python -m standin --settings examples/teifi/standin-siop-1.toml
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import signal
+import sys
+import typing
+
+from absl import app as absl_app
+from absl import flags
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import http_server
+from godwitstall import logs
+from loadtool import http_client
+from loadtool import tables
+from standin import app
+from standin import options as standin_options
+
+_log = logs.get('standin')
+
+# Time left for answers to leave after the last call ended, seconds.
+_STOP_S = 2.0
+
+# Time between two looks at the open calls while draining, seconds.
+_IDLE_CHECK_S = 0.02
+
+_SETTINGS = flags.DEFINE_string(
+    'settings', None, 'TOML file with the table [standin].'
+)
+_ONWARD = flags.DEFINE_multi_string(
+    'onward', [], 'Onward calls, "PATH" or "PATH*COUNT".'
+)
+_DEFINE = {
+    str: flags.DEFINE_string,
+    int: flags.DEFINE_integer,
+    float: flags.DEFINE_float,
+}
+_FIELDS = {
+    field.name: typing.cast(typing.Any, _DEFINE[field.type])(
+        field.name, None, 'See standin/options.py.'
+    )
+    for field in dataclasses.fields(standin_options.StandinOptions)
+    if isinstance(field.type, type) and field.type in _DEFINE
+}
+
+
+class Program:
+    """One stand-in with its listener and its announcements."""
+
+    def __init__(self, options: standin_options.StandinOptions) -> None:
+        self.options = options
+        # The start time rises with each start, also without a disk.
+        self.standin = app.Standin(options, incarnation=clock.wall_ms())
+        self.server = http_server.HttpServer(self.standin, options.address)
+        self.announcer = (
+            http_client.Client(options.node_address, max_connections=1)
+            if options.node_address
+            else None
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        # Wakes the announcer before its next turn.
+        self.must_announce = asyncio.Event()
+
+    async def start(self) -> None:
+        """Listen, then announce; returns when calls are accepted."""
+        await self.server.start()
+        state = self.server.server.server_state
+        self.standin.count_connections = lambda: len(state.connections)
+        self.tasks.append(asyncio.create_task(self.standin.sample_load()))
+        if self.announcer is not None:
+            self.tasks.append(asyncio.create_task(self._announce()))
+        _log.info('Listening on %s.', self.options.address)
+
+    async def drain(self) -> None:
+        """Announce draining and return when the running work is done."""
+        self.standin.drain()
+        self.must_announce.set()
+        _log.info('Draining.')
+        now = clock.now()
+        earliest = now + self.options.drain_min_s
+        latest = now + self.options.drain_max_s
+        while clock.now() < earliest or not self.standin.is_idle():
+            if clock.now() >= latest:
+                _log.warning('Stopping with open calls.')
+                return
+            await asyncio.sleep(_IDLE_CHECK_S)
+
+    async def stop(self) -> None:
+        """Close the listener and all connections."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.server.stop(_STOP_S)
+        for client in (self.announcer, self.standin.node):
+            if client is not None:
+                client.close()
+        self.standin.oracle.close()
+
+    async def _announce(self) -> None:
+        assert self.announcer is not None
+        while True:
+            if self.standin.behaviour.is_announcing:
+                body = json.dumps(self.standin.announcement()).encode()
+                try:
+                    answer = await self.announcer.request(
+                        'POST',
+                        '/announce',
+                        [('content-type', 'application/json')],
+                        body,
+                        self.options.announce_s,
+                    )
+                    if answer.status >= 300:
+                        _log.warning(
+                            'Announcement was refused with %d.', answer.status
+                        )
+                except http_client.CallError as e:
+                    _log.info('Announcement failed: %s.', e.reason)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.options.announce_s):
+                    await self.must_announce.wait()
+            self.must_announce.clear()
+
+
+def options_from_flags() -> standin_options.StandinOptions:
+    """Return the options of the settings file with flags over them.
+
+    Errors: SettingsError with one line for each problem found.
+    """
+    table: dict[str, typing.Any] = {
+        name: holder.value
+        for name, holder in _FIELDS.items()
+        if holder.value is not None
+    }
+    if _ONWARD.value:
+        table['onward'] = [_read_onward(text) for text in _ONWARD.value]
+    if not _SETTINGS.value:
+        return tables.fill(standin_options.StandinOptions, table, 'flags')
+    options = tables.load(
+        pathlib.Path(_SETTINGS.value),
+        'standin',
+        standin_options.StandinOptions,
+    )
+    return tables.change(options, table)
+
+
+def _read_onward(text: str) -> dict[str, typing.Any]:
+    path, _, count = text.partition('*')
+    if count and not count.isdecimal():
+        raise errors.SettingsError([f'flags: onward: no count in {text!r}'])
+    return {'path': path, 'count': int(count or '1')}
+
+
+async def run(options: standin_options.StandinOptions) -> None:
+    """Run a stand-in until SIGTERM or SIGINT, then drain it."""
+    program = Program(options)
+    must_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, must_stop.set)
+    await program.start()
+    await must_stop.wait()
+    await program.drain()
+    await program.stop()
+
+
+def _main(_: list[str]) -> int:
+    logs.setup('INFO', {})
+    try:
+        options = options_from_flags()
+    except errors.SettingsError as e:
+        print(e, file=sys.stderr)
+        return 2
+    asyncio.run(run(options))
+    return 0
+
+
+def main() -> None:
+    """Start the program."""
+    absl_app.run(_main)
