Add the open-loop load tool

Cause: goodput, shed order and refusal times can only be measured with arrivals that do not wait for answers and with clients that resend.

Capacity and latency floor are not measured yet.

--- /dev/null
+++ b/loadtool/__main__.py
@@ -0,0 +1,5 @@
+"""python -m loadtool."""
+
+from loadtool import program
+
+program.main()
