Let the load tool poll instead of sleeping

Cause: the wake-up of a sleeping event loop is part of every latency; a plain asyncio.sleep(1 ms) on this machine came late by 0.2 ms at the median and 3 ms at 99 in 100, while a busy loop had two gaps above 0.5 ms in 3 s.

Ruled out: a finer timer in the selector, which would leave the wake-up delay of the sockets.

--- a/loadtool/program.py
+++ b/loadtool/program.py
@@ -39,6 +39,9 @@
 _CONNECTIONS = flags.DEFINE_integer(
     'connections', None, 'Connections to each target.'
 )
+_SPIN = flags.DEFINE_bool(
+    'spin', None, 'Poll instead of sleeping; takes a whole core.'
+)
 _SEED = flags.DEFINE_integer('seed', None, 'Seed of the arrivals.')
 _CHECK = flags.DEFINE_bool(
     'check_digest', None, 'Answers must carry the digest of their request.'
@@ -81,6 +84,8 @@
         )
     if _CONNECTIONS.value is not None:
         scenario.connections = _CONNECTIONS.value
+    if _SPIN.value is not None:
+        scenario.is_spinning = _SPIN.value
     if _SEED.value is not None:
         scenario.seed = _SEED.value
     if _CHECK.value is not None:
--- a/loadtool/runner.py
+++ b/loadtool/runner.py
@@ -89,6 +89,11 @@
     return None
 
 
+async def _spin() -> None:
+    while True:
+        await asyncio.sleep(0)
+
+
 class _Runner:
     """State of one run."""
 
@@ -115,6 +120,9 @@
             asyncio.create_task(self._send_all(place, load))
             for place, load in enumerate(self.scenario.loads)
         ]
+        spinner = (
+            asyncio.create_task(_spin()) if self.scenario.is_spinning else None
+        )
         try:
             await asyncio.gather(*senders)
             # Each call ends by itself after its deadlines.
@@ -123,6 +131,8 @@
         finally:
             for task in [*senders, *self.open]:
                 task.cancel()
+            if spinner is not None:
+                spinner.cancel()
             for client in self.clients.values():
                 client.close()
         self.report.seconds = self.loop.time() - self.started
--- a/loadtool/scenario.py
+++ b/loadtool/scenario.py
@@ -109,6 +109,9 @@
     max_open: int = 20_000
     # Calls in the whole run; the run ends there.
     max_calls: int = 5_000_000
+    # The event loop polls instead of sleeping. This takes a whole core and
+    # removes the wake-up delay of the timer and of the sockets.
+    is_spinning: bool = False
     # Answers must carry the digest of their request. Without it any whole
     # answer with a status of 2xx is good, for servers other than standin.
     is_digest_checked: bool = True
