--- /dev/null
+++ b/godwitstall/control/sessions.py
@@ -0,0 +1,162 @@
+"""Node sessions of one control replica: state pushes and heartbeats.
+
+A session is sent every change of the replicated state in order. A heartbeat
+is answered only after the replica has confirmed with the leader how far the
+log was committed when the heartbeat arrived, has applied that, and has sent
+it; so the reply proves that the node's view is as new as its heartbeat.
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+from godwitstall import clock
+from godwitstall.control import barrier as barrier_module
+from godwitstall.control import machine as machine_module
+from godwitstall import errors
+from godwitstall import link as link_module
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+
+_LOG = logs.get('sessions')
+_PUSHES = metrics.counter('state_updates_total', 'State updates sent.')
+_STALE = metrics.counter(
+    'heartbeats_unconfirmed_total', 'Heartbeats that were not confirmed.'
+)
+
+# Changes that come close together are sent as one update.
+_PUSH_GAP_S = 0.02
+
+# Longest time to confirm one heartbeat, seconds.
+_CONFIRM_TIMEOUT_S = 1.5
+
+
+@dataclasses.dataclass(slots=True)
+class Session:
+    """One node that is connected to this replica."""
+
+    # The connection.
+    link: link_module.Link
+    # Node id that the heartbeats name.
+    node_id: messages.NodeId = messages.NodeId('')
+    # Start number that the heartbeats name; 0 before the node chose one.
+    incarnation: int = 0
+    # Log index of the last update sent; -1 before the first.
+    sent_index: int = -1
+    # Log index that the last heartbeat named as applied.
+    applied_index: int = 0
+    # Time of the last heartbeat, seconds.
+    heard_at: float = 0.0
+
+
+class Sessions:
+    """All node sessions of one replica."""
+
+    def __init__(
+        self,
+        machine: machine_module.Machine,
+        barrier: barrier_module.Barrier,
+    ) -> None:
+        self.machine = machine
+        self.barrier = barrier
+        self.open: dict[link_module.Link, Session] = {}
+        self.changed = asyncio.Event()
+        # Whether nodes are told to use another replica.
+        self.is_stopping = False
+        # Encoded updates by the index they start from, for one push.
+        self.encoded: dict[int, bytes] = {}
+        self.encoded_index = -1
+        machine.on_change.append(self.changed.set)
+
+    async def run(self) -> None:
+        """Push changes until cancelled."""
+        while True:
+            await self.changed.wait()
+            self.changed.clear()
+            for session in list(self.open.values()):
+                self._push(session)
+            await asyncio.sleep(_PUSH_GAP_S)
+
+    def _push(self, session: Session) -> None:
+        index = self.machine.applied_index
+        if session.sent_index >= index:
+            return
+        try:
+            session.link.send_encoded(self._update(session.sent_index))
+        except errors.LinkError:
+            return
+        session.sent_index = index
+        _PUSHES.inc()
+
+    def _update(self, since: int) -> bytes:
+        """Return the encoded update, made once for all sessions."""
+        if self.encoded_index != self.machine.applied_index:
+            self.encoded_index = self.machine.applied_index
+            self.encoded.clear()
+        data = self.encoded.get(since)
+        if data is None:
+            if since < 0:
+                update = self.machine.full_update()
+            else:
+                update = self.machine.update_since(since)
+            data = self.encoded[since] = messages.encode(update)
+        return data
+
+    async def on_heartbeat(
+        self, link: link_module.Link, beat: messages.Heartbeat
+    ) -> None:
+        """Answer one heartbeat."""
+        session = self.open.get(link)
+        if session is None:
+            session = self.open[link] = Session(link)
+        session.node_id = beat.node_id
+        session.incarnation = beat.incarnation
+        session.applied_index = beat.applied_index
+        session.heard_at = clock.now()
+        try:
+            await self.barrier.wait(_CONFIRM_TIMEOUT_S)
+            is_fresh = True
+        except errors.GodwitstallError as e:
+            _LOG.debug('Heartbeat of %s not confirmed: %s', beat.node_id, e)
+            _STALE.inc()
+            is_fresh = False
+        self._push(session)
+        link.send(
+            messages.HeartbeatReply(
+                beat.seq,
+                is_fresh,
+                self.machine.applied_index if is_fresh else 0,
+                self.is_stopping,
+            )
+        )
+
+    def on_closed(self, link: link_module.Link) -> None:
+        """Forget a session whose connection ended."""
+        self.open.pop(link, None)
+
+    def beats(self, now: float) -> list[messages.NodeBeat]:
+        """Return how long ago each node was heard here."""
+        return [
+            messages.NodeBeat(
+                session.node_id,
+                session.incarnation,
+                int((now - session.heard_at) * 1000),
+            )
+            for session in self.open.values()
+            if session.incarnation
+        ]
+
+    def dump(self) -> list[dict[str, typing.Any]]:
+        """Return the sessions for the dump."""
+        now = clock.now()
+        return [
+            {
+                'node_id': session.node_id,
+                'incarnation': session.incarnation,
+                'sent_index': session.sent_index,
+                'applied_index': session.applied_index,
+                'heard_ago_s': round(now - session.heard_at, 3),
+            }
+            for session in self.open.values()
+        ]
--- /dev/null
+++ b/godwitstall/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command line."""
--- /dev/null
+++ b/godwitstall/ctl/commands.py
@@ -0,0 +1,416 @@
+"""The commands of godwitstall-ctl, each a function that returns a result."""
+
+import collections.abc
+import dataclasses
+import datetime
+import hashlib
+import json
+import pathlib
+import secrets
+import typing
+
+import httpx
+
+from godwitstall.configuration import note as notes
+from godwitstall.ctl import client as client_module
+from godwitstall import errors
+from godwitstall import messages
+
+_KEY_BYTES = 32
+_HTTP_TIMEOUT_S = 5.0
+_Row = dict[str, typing.Any]
+
+
+class CommandError(Exception):
+    """A command cannot be carried out; the text says why."""
+
+
+@dataclasses.dataclass
+class Result:
+    """What a command prints."""
+
+    # One or more sentences, printed first.
+    text: str
+    # Rows of a table, printed after the text.
+    rows: list[_Row] = dataclasses.field(default_factory=list)
+    # Names of the columns in order.
+    columns: tuple[str, ...] = ()
+    # Whole data for --json; the rows when empty.
+    data: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+    # Whether the exit code is 0.
+    is_success: bool = True
+
+    def to_json(self) -> str:
+        """Return the result as JSON."""
+        data = self.data or {'rows': self.rows}
+        return json.dumps(
+            {'text': self.text, 'ok': self.is_success, **data}, indent=2
+        )
+
+    def to_text(self) -> str:
+        """Return the result for people."""
+        return '\n'.join(
+            part
+            for part in (self.text, table(self.columns, self.rows))
+            if part
+        )
+
+
+Run = collections.abc.Callable[
+    ..., collections.abc.Coroutine[typing.Any, typing.Any, Result]
+]
+
+
+def table(columns: tuple[str, ...], rows: list[_Row]) -> str:
+    """Return rows as an aligned table with a heading."""
+    if not rows:
+        return ''
+    cells = [list(columns)]
+    cells += [[str(row.get(name, '')) for name in columns] for row in rows]
+    widths = [max(len(line[i]) for line in cells) for i in range(len(columns))]
+    return '\n'.join(
+        '  '.join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in cells
+    )
+
+
+def _time(milliseconds: int) -> str:
+    """Return a wall clock time for people, in UTC."""
+    if not milliseconds:
+        return '-'
+    moment = datetime.datetime.fromtimestamp(
+        milliseconds / 1000, datetime.timezone.utc
+    )
+    return moment.isoformat(sep=' ', timespec='milliseconds')
+
+
+def _read(path: str) -> str:
+    try:
+        return pathlib.Path(path).read_text('utf-8')
+    except (OSError, UnicodeDecodeError) as e:
+        raise CommandError(f'{path}: cannot be read: {e}') from e
+
+
+async def check_note(client: client_module.ControlClient, path: str) -> Result:
+    """Check a note without applying it.
+
+    Its own text is checked here; whether it fits the configuration in force
+    is decided by control when it is applied.
+    """
+    del client
+    parsed = notes.parse(_read(path))
+    if parsed.problems:
+        lines = [f'{path}: {problem}' for problem in parsed.problems]
+        return Result('\n'.join(lines), is_success=False)
+    return Result(f'{path}: note {parsed.number} is well formed.')
+
+
+async def apply_note(client: client_module.ControlClient, path: str) -> Result:
+    """Put a note in force and tell what became of it."""
+    text = _read(path)
+    parsed = notes.parse(text)
+    if parsed.problems:
+        lines = [f'{path}: {problem}' for problem in parsed.problems]
+        return Result('\n'.join(lines), is_success=False)
+    result = await client.propose(
+        messages.ApplyNote(
+            parsed.number,
+            notes.digest_of(text),
+            client.options.operator,
+            text.encode(),
+        )
+    )
+    if not isinstance(result, messages.NoteResult):
+        raise CommandError('Control gave an unexpected reply.')
+    return Result(*_verdict_text(path, parsed.number, result))
+
+
+def _verdict_text(
+    path: str, number: int, result: messages.NoteResult
+) -> tuple[str, list[_Row], tuple[str, ...], dict[str, typing.Any], bool]:
+    is_success = True
+    match result.verdict:
+        case messages.NoteVerdict.ACCEPTED:
+            text = f'Note {number} is in force.'
+        case messages.NoteVerdict.ALREADY_IN_FORCE:
+            text = (
+                f'Note {number} was in force already: accepted from '
+                f'{result.operator!r} at {_time(result.time_ms)}.'
+            )
+        case messages.NoteVerdict.NUMBER_TAKEN:
+            is_success = False
+            text = (
+                f'Number {number} was taken by another note of '
+                f'{result.operator!r} at {_time(result.time_ms)}. '
+                f'Nothing was changed.'
+            )
+        case messages.NoteVerdict.NUMBER_GAP:
+            is_success = False
+            text = f'Number {number} is too high. {result.detail}'
+        case messages.NoteVerdict.INVALID:
+            is_success = False
+            text = '\n'.join(
+                f'{path}: {line}' for line in result.detail.splitlines()
+            )
+    data = {
+        'verdict': result.verdict.name.lower(),
+        'number': number,
+        'operator': result.operator,
+        'time_ms': result.time_ms,
+    }
+    return text, [], (), data, is_success
+
+
+async def list_notes(client: client_module.ControlClient) -> Result:
+    """List accepted notes."""
+    found = await client.query(messages.QueryKind.NOTES)
+    rows = [
+        row | {'time': _time(row['time_ms']), 'digest': row['digest'][:16]}
+        for row in found['notes']
+    ]
+    return Result(
+        f'{len(rows)} notes.', rows, ('number', 'operator', 'time', 'digest')
+    )
+
+
+async def show_configuration(client: client_module.ControlClient) -> Result:
+    """Show the configuration in force."""
+    found = await client.query(messages.QueryKind.CONFIGURATION)
+    parts = [f'Note {found["number"]} is in force.']
+    for title, columns in (
+        ('workspaces', ('name', 'rate', 'burst')),
+        ('keys', ('key_id', 'workspace')),
+        (
+            'routes',
+            (
+                'name',
+                'path_prefix',
+                'methods',
+                'service',
+                'priority',
+                'is_idempotent',
+                'is_open',
+                'attempts',
+                'dispatch_attempts',
+                'timeout_ms',
+            ),
+        ),
+        ('upstreams', ('name', 'service', 'max_slots', 'is_withdrawn')),
+    ):
+        parts += ['', f'{title}:', table(columns, found[title]) or 'none']
+    return Result('\n'.join(parts), data=found)
+
+
+async def show_where(client: client_module.ControlClient) -> Result:
+    """Show for each process whether it has the configuration in force."""
+    found = await client.query(messages.QueryKind.CONFIGURATION)
+    index = found['index']
+    rows: list[_Row] = []
+    nodes: dict[str, _Row] = {}
+    for slot in client.fleet.control:
+        try:
+            status = await client.status_of(slot)
+        except errors.GodwitstallError as e:
+            rows.append(
+                {'process': slot, 'in_force': 'unknown', 'detail': e.detail}
+            )
+            continue
+        has_it = status['applied_index'] >= index
+        detail = 'leader' if status['is_leader'] else 'follower'
+        rows.append(
+            {
+                'process': slot,
+                'in_force': 'yes' if has_it else 'no',
+                'detail': detail,
+            }
+        )
+        for session in status['sessions']:
+            has_it = session['applied_index'] >= index
+            nodes[session['node_id']] = {
+                'process': session['node_id'],
+                'in_force': 'yes' if has_it else 'not confirmed yet',
+                'detail': f'heard {session["heard_ago_s"]} s ago by {slot}',
+            }
+    members = await client.query(messages.QueryKind.MEMBERS)
+    for member in members['members']:
+        nodes.setdefault(
+            member['node_id'],
+            {
+                'process': member['node_id'],
+                'in_force': 'unknown',
+                'detail': 'no session; it refuses calls when its lease ends',
+            },
+        )
+    rows += [nodes[name] for name in sorted(nodes)]
+    return Result(
+        f'Note {found["number"]}.', rows, ('process', 'in_force', 'detail')
+    )
+
+
+async def list_members(client: client_module.ControlClient) -> Result:
+    """List nodes and their upstreams."""
+    found = await client.query(messages.QueryKind.MEMBERS)
+    rows = sorted(found['members'], key=lambda row: row['node_id'])
+    return Result(
+        f'{len(rows)} members.',
+        rows,
+        (
+            'node_id',
+            'service',
+            'zone',
+            'region',
+            'address',
+            'state',
+            'is_drained',
+            'slots',
+        ),
+    )
+
+
+async def _set_drained(
+    client: client_module.ControlClient, node: str, is_drained: bool
+) -> Result:
+    result = await client.propose(
+        messages.Drain(
+            messages.NodeId(node), is_drained, client.options.operator
+        )
+    )
+    if not isinstance(result, messages.CommandResult):
+        raise CommandError('Control gave an unexpected reply.')
+    word = 'gets no new work' if is_drained else 'gets work again'
+    if result.is_accepted:
+        return Result(f'The upstream of {node} {word}.')
+    return Result(result.detail, is_success=False)
+
+
+async def drain(client: client_module.ControlClient, node: str) -> Result:
+    """Give an upstream no new work."""
+    return await _set_drained(client, node, True)
+
+
+async def undrain(client: client_module.ControlClient, node: str) -> Result:
+    """Give an upstream work again."""
+    return await _set_drained(client, node, False)
+
+
+# What each state of a record means on the phone.
+_OPERATION_TEXTS = {
+    'claimed': (
+        'UNKNOWN. It was handed to an upstream and no outcome is recorded '
+        'yet. It is running, or its node was lost. It will not be run again.'
+    ),
+    'run': 'RUN. The upstream gave a whole answer.',
+    'unknown': (
+        'UNKNOWN. It was handed to an upstream, which gave no whole answer. '
+        'It will not be run again.'
+    ),
+    'released': 'NOT RUN. Every try ended before it reached an upstream.',
+}
+
+
+async def show_operation(
+    client: client_module.ControlClient, operation_id: str
+) -> Result:
+    """Tell whether an operation was run."""
+    found = await client.query(messages.QueryKind.OPERATION, operation_id)
+    records = found['operations']
+    if not records:
+        return Result(
+            f'NO RECORD of operation {operation_id}: since its record would '
+            f'have been kept, no node has claimed it, so it was not run under '
+            f'this id in that time.',
+            data=found,
+        )
+    parts = []
+    for record in records:
+        parts += [
+            f'Operation {record["operation_id"]} of workspace '
+            f'{record["workspace"]!r}:',
+            _OPERATION_TEXTS[record['state']],
+            f'  route:    {record["route_name"]}',
+            f'  upstream: {record["upstream"]}',
+            f'  claimed:  {_time(record["claimed_ms"])}, '
+            f'{record["claims"]} claims in all',
+            f'  ended:    {_time(record["ended_ms"])}',
+            f'  status:   {record["status"] or "-"}',
+        ]
+    return Result('\n'.join(parts), data=found)
+
+
+async def list_quarantine(client: client_module.ControlClient) -> Result:
+    """List suspects and quarantined requests."""
+    found = await client.query(messages.QueryKind.QUARANTINE)
+    rows = [
+        row
+        | {
+            'fingerprint': row['fingerprint'][:16],
+            'last': _time(row['last_time_ms']),
+        }
+        for row in found['quarantines']
+    ]
+    return Result(
+        f'{len(rows)} requests.',
+        rows,
+        (
+            'fingerprint',
+            'workspace',
+            'route_name',
+            'reports',
+            'is_quarantined',
+            'last',
+        ),
+        found,
+    )
+
+
+async def lift_quarantine(
+    client: client_module.ControlClient, fingerprint: str
+) -> Result:
+    """Let a quarantined request run again."""
+    found = await client.query(messages.QueryKind.QUARANTINE, fingerprint)
+    matches = found['quarantines']
+    if len(matches) != 1:
+        raise CommandError(
+            f'{len(matches)} requests have a fingerprint that starts with '
+            f'{fingerprint!r}.'
+        )
+    result = await client.propose(
+        messages.Lift(
+            bytes.fromhex(matches[0]['fingerprint']), client.options.operator
+        )
+    )
+    if not isinstance(result, messages.CommandResult):
+        raise CommandError('Control gave an unexpected reply.')
+    if not result.is_accepted:
+        return Result(result.detail, is_success=False)
+    return Result('The request may run again.')
+
+
+async def make_key(client: client_module.ControlClient) -> Result:
+    """Make a key; only its digest goes into a note."""
+    del client
+    key = secrets.token_urlsafe(_KEY_BYTES)
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return Result(
+        f'key:    {key}\ndigest: {digest}\n'
+        f'Give the key to the caller and put the digest into a note. '
+        f'The key is not stored anywhere.',
+        data={'key': key, 'digest': digest},
+    )
+
+
+async def dump_state(
+    client: client_module.ControlClient, address: str
+) -> Result:
+    """Dump the state of a process."""
+    del client
+    try:
+        async with httpx.AsyncClient(timeout=_HTTP_TIMEOUT_S) as session:
+            answer = await session.get(f'http://{address}/state')
+            answer.raise_for_status()
+    except httpx.HTTPError as e:
+        raise CommandError(f'No state from {address}: {e}') from e
+    state = answer.json()
+    return Result(json.dumps(state, indent=2), data=state)
--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -107,6 +107,8 @@
             host=host,
             port=port,
             loop='asyncio',
+            interface='asgi3',
+            proxy_headers=False,
             http=protocol,
             ws='none',
             lifespan='off',
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -110,17 +110,21 @@
         Errors: LinkError of kind PEER_LOST when the link is closed or the
         peer has stopped reading.
         """
+        self.send_encoded(messages.encode(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Queue a message that is encoded already, as send() does."""
         if self.is_closed:
             raise errors.LinkError(errors.ErrorKind.PEER_LOST)
-        data = messages.encode(message)
-        frame = len(data).to_bytes(_LENGTH_BYTES, 'big') + data
-        self.bytes_sent += len(frame)
-        self.writer.write(frame)
+        # Checked before the write, so that a refused message is surely unsent.
         unsent = self.writer.transport.get_write_buffer_size()
         if unsent > MAX_UNSENT_BYTES:
             _LOG.warning('Peer %s stopped reading.', self.peer_id)
             self.close()
             raise errors.LinkError(errors.ErrorKind.PEER_LOST)
+        frame = len(data).to_bytes(_LENGTH_BYTES, 'big') + data
+        self.bytes_sent += len(frame)
+        self.writer.write(frame)
 
     async def request(
         self, message: typing.Any, timeout_s: float
--- a/godwitstall/logs.py
+++ b/godwitstall/logs.py
@@ -36,5 +36,8 @@
     root.handlers = [handler]
     root.propagate = False
     root.setLevel(level)
+    # The HTTP libraries tell each start and request at INFO.
+    for library in ('uvicorn', 'httpx', 'httpcore'):
+        logging.getLogger(library).setLevel(logging.WARNING)
     for part, part_level in part_levels.items():
         get(part).setLevel(part_level)
--- /dev/null
+++ b/godwitstall/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node: one process beside each upstream."""
--- /dev/null
+++ b/godwitstall/node/control_session.py
@@ -0,0 +1,262 @@
+"""The node's connection to control.
+
+One replica at a time: it pushes state, answers heartbeats, and takes
+commands and token requests. A heartbeat reply that is marked fresh renews
+the lease from the time the heartbeat was sent, because the replica has
+confirmed its state after that moment. When replies stop, the session moves
+to the next replica.
+"""
+
+import asyncio
+import contextlib
+import random
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import link as link_module
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import view as view_module
+from godwitstall import settings
+
+_LOG = logs.get('session')
+_SESSIONS = metrics.counter(
+    'control_sessions_total', 'Sessions opened to control.'
+)
+_GRANT_REQUESTS = metrics.counter(
+    'grant_requests_total', 'Token requests sent to the ledger.'
+)
+
+# Shortest time between two token requests when a call waits, seconds.
+_URGENT_GRANT_GAP_S = 0.01
+
+# Time before another replica is tried, seconds; grows up to the maximum.
+_RECONNECT_MIN_S = 0.05
+_RECONNECT_MAX_S = 1.0
+
+# One try of a command; a lost reply is found out after this long, seconds.
+_PROPOSE_TRY_S = 2.0
+
+
+class ControlSession:
+    """Connection of one node to control, with its lease."""
+
+    def __init__(
+        self,
+        options: settings.NodeOptions,
+        fleet: settings.FleetOptions,
+        identity: link_module.Identity,
+        view: view_module.View,
+        allowance: allowance_module.Allowance,
+    ) -> None:
+        self.options = options
+        self.fleet = fleet
+        self.identity = identity
+        self.view = view
+        self.allowance = allowance
+        self.link: link_module.Link | None = None
+        # Set while a session is open and has delivered its first state.
+        self.connected = asyncio.Event()
+        # End of the lease, seconds of clock.now().
+        self.lease_until = 0.0
+        # Start number of this process, chosen above the one control knows.
+        self.incarnation = 0
+        # Set when a call waits for a token.
+        self.grant_wanted = asyncio.Event()
+        # Slot of the replica in use, for the dump.
+        self.slot = ''
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether the view may be used for decisions."""
+        return now < self.lease_until
+
+    async def run(self) -> None:
+        """Keep a session open until cancelled."""
+        slots = list(self.fleet.control)
+        random.shuffle(slots)
+        pause_s = _RECONNECT_MIN_S
+        turn = 0
+        while True:
+            slot = slots[turn % len(slots)]
+            turn += 1
+            started = clock.now()
+            try:
+                await self._serve(slot)
+            except errors.GodwitstallError as e:
+                _LOG.info('Session with %s ended: %s', slot, e)
+            finally:
+                self.connected.clear()
+                self.allowance.on_lost()
+                if self.link is not None:
+                    self.link.close()
+                    self.link = None
+            if clock.now() - started > self.options.lease_s:
+                pause_s = _RECONNECT_MIN_S
+            await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
+            pause_s = min(_RECONNECT_MAX_S, pause_s * 2)
+
+    async def _serve(self, slot: str) -> None:
+        local_host, _ = link_module.split_address(self.options.link_address)
+        link = await link_module.connect(
+            self.fleet.control[slot], self.identity, local_host=local_host
+        )
+        self.link = link
+        self.slot = slot
+        _SESSIONS.inc(slot=slot)
+        reader = asyncio.create_task(link.run(self._on_push))
+        beats = asyncio.create_task(self._beat(link))
+        grants = asyncio.create_task(self._ask_for_tokens(link))
+        tasks = {reader, beats, grants}
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                task.result()
+            raise errors.LinkError(errors.ErrorKind.PEER_LOST)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _on_push(self, message: messages.Message) -> None:
+        if not isinstance(message, messages.StateUpdate):
+            _LOG.warning('Unexpected %s.', type(message).__name__)
+            return
+        if not self.view.apply(message):
+            _LOG.info('State %d is older than what is held.', message.index)
+            return
+        if not self.incarnation:
+            self.incarnation = self._next_incarnation()
+
+    def _next_incarnation(self) -> int:
+        """Return a start number above the one that control has on record.
+
+        The wall clock alone could have been set back since the last start.
+        """
+        known = self.view.members.get(self.options.node_id)
+        last = known.incarnation if known is not None else 0
+        return max(clock.wall_ms(), last + 1)
+
+    async def _beat(self, link: link_module.Link) -> None:
+        while True:
+            sent_at = clock.now()
+            reply = await link.request(
+                messages.Heartbeat(
+                    node_id=self.options.node_id,
+                    incarnation=self.incarnation,
+                    applied_index=max(0, self.view.index),
+                    is_subscribed=True,
+                ),
+                self.options.lease_s / 2,
+            )
+            if not isinstance(reply, messages.HeartbeatReply):
+                raise errors.LinkError(errors.ErrorKind.BAD_MESSAGE)
+            if reply.must_move:
+                raise errors.LinkError(
+                    errors.ErrorKind.STOPPING, 'The replica is stopping.'
+                )
+            if not reply.is_fresh:
+                raise errors.LinkError(
+                    errors.ErrorKind.CONTROL_LOST,
+                    'The replica cannot confirm its state.',
+                )
+            if self.view.index >= reply.applied_index:
+                self.lease_until = max(
+                    self.lease_until, sent_at + self.options.lease_s
+                )
+                if self.incarnation:
+                    self.connected.set()
+            pause_s = self.options.heartbeat_s
+            if not self.connected.is_set():
+                # The first state has arrived just now; confirm it at once.
+                pause_s = _RECONNECT_MIN_S
+            await asyncio.sleep(max(0.0, sent_at + pause_s - clock.now()))
+
+    async def _ask_for_tokens(self, link: link_module.Link) -> None:
+        interval_s = self.options.grant_interval_ms / 1000
+        await self.connected.wait()
+        while True:
+            self.grant_wanted.clear()
+            sent_at = clock.now()
+            wants = self.allowance.next_wants(sent_at)
+            if wants:
+                _GRANT_REQUESTS.inc()
+                await self._request_grant(link, wants, sent_at)
+            if self.allowance.needs_grant_now():
+                await asyncio.sleep(_URGENT_GRANT_GAP_S)
+                continue
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self.grant_wanted.wait()
+
+    async def _request_grant(
+        self,
+        link: link_module.Link,
+        wants: list[messages.Want],
+        sent_at: float,
+    ) -> None:
+        request = messages.GrantRequest(
+            node_id=self.options.node_id,
+            incarnation=self.incarnation,
+            wants=wants,
+        )
+        try:
+            reply = await link.request(request, self.options.lease_s / 2)
+        except errors.ControlError as e:
+            # No leader just now; the next request comes soon.
+            _LOG.debug('No tokens: %s', e)
+            self.allowance.on_lost()
+            await asyncio.sleep(self.options.grant_interval_ms / 1000)
+            return
+        if isinstance(reply, messages.GrantReply):
+            self.allowance.on_reply(sent_at, wants, reply.grants, clock.now())
+
+    async def propose(
+        self, command: messages.Message, timeout_s: float
+    ) -> messages.Message:
+        """Have a command logged and applied; returns its result.
+
+        Sent again, over another session if need be, until a reply comes:
+        commands are idempotent by content. Errors: ControlError of kind
+        CONTROL_LOST when there is no reply within timeout_s; the command
+        may take effect all the same.
+        """
+        data = messages.encode(command)
+        end = clock.now() + timeout_s
+        detail = 'no session'
+        while (left_s := end - clock.now()) > 0:
+            link = self.link
+            if link is None or link.is_closed:
+                await asyncio.sleep(min(_RECONNECT_MIN_S, left_s))
+                continue
+            try:
+                reply = await link.request(
+                    messages.Propose(command=data),
+                    min(left_s, _PROPOSE_TRY_S),
+                )
+            except errors.GodwitstallError as e:
+                detail = e.detail
+                await asyncio.sleep(min(_RECONNECT_MIN_S, left_s))
+                continue
+            if isinstance(reply, messages.ProposeReply):
+                return messages.decode(reply.result)
+        raise errors.ControlError(
+            errors.ErrorKind.CONTROL_LOST, f'Control gave no reply: {detail}'
+        )
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for the dump."""
+        return {
+            'slot': self.slot,
+            'is_connected': self.connected.is_set(),
+            'lease_left_s': round(self.lease_until - clock.now(), 3),
+            'incarnation': self.incarnation,
+            'index': self.view.index,
+            'number': self.view.number,
+            'bytes_sent': self.link.bytes_sent if self.link else 0,
+            'bytes_received': self.link.bytes_received if self.link else 0,
+        }
--- /dev/null
+++ b/godwitstall/node/dispatch.py
@@ -0,0 +1,392 @@
+"""The owner side of a node: everything that happens before its own upstream.
+
+A call passes the quarantine check, the queue, the concurrency limit and, for
+a non-idempotent operation, the claim; then it is dispatched once. The place
+where it fails decides whether the answer says not run, run or unknown.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import hashlib
+import secrets
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall.limits import fair_queue
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+from godwitstall.node import claims
+from godwitstall.node import context
+from godwitstall.node import crashes
+from godwitstall.node import headers
+from godwitstall.node import upstream as upstream_module
+from godwitstall.node import upstream_client
+from godwitstall.routing import view as view_module
+from godwitstall import settings
+
+_LOG = logs.get('dispatch')
+_DISPATCHED = metrics.counter(
+    'dispatched_total', 'Requests sent to the own upstream.'
+)
+_ANSWERED = metrics.counter(
+    'owner_answers_total', 'Answers of the owner side by error kind.'
+)
+_SHED = metrics.counter(
+    'shed_total', 'Requests shed from the queue by priority.'
+)
+
+# How often waiting work is checked against its deadline, seconds.
+_EXPIRE_INTERVAL_S = 0.02
+
+# Outcomes that say the upstream is overloaded or lost, for the limit.
+_DROP_KINDS = frozenset(
+    (
+        errors.ErrorKind.UPSTREAM_TIMEOUT,
+        errors.ErrorKind.UPSTREAM_SHED,
+        errors.ErrorKind.UPSTREAM_LOST,
+    )
+)
+
+
+@dataclasses.dataclass(slots=True)
+class _Dispatched:
+    """Outcome of one dispatch."""
+
+    # Error kind; NONE for a whole answer.
+    kind: errors.ErrorKind
+    # The answer, when there is one.
+    answer: upstream_client.UpstreamAnswer | None
+    # One sentence for people.
+    detail: str
+
+
+class Owner:
+    """Admits, queues and dispatches calls for the own upstream."""
+
+    def __init__(
+        self,
+        options: settings.NodeOptions,
+        view: view_module.View,
+        upstream: upstream_module.Upstream,
+        contexts: context.Contexts,
+        claimer: claims.Claimer,
+        crash_watch: crashes.CrashWatch,
+    ) -> None:
+        self.options = options
+        self.view = view
+        self.upstream = upstream
+        self.contexts = contexts
+        self.claimer = claimer
+        self.crash_watch = crash_watch
+        self.queue = fair_queue.FairQueue(
+            options.max_queue, options.max_queue_wait_ms / 1000
+        )
+        # Requests that hold a slot.
+        self.running = 0
+        # Calls inside handle(), queued ones included.
+        self.active = 0
+        # One suspect at a time, so that a crash tells which one it was.
+        self.suspect_lock = asyncio.Lock()
+
+    def load(self) -> messages.LoadReport:
+        """Return the load that answers carry to entry nodes."""
+        is_usable = self.upstream.is_ready() and not self.upstream.is_stalled
+        limit = self.upstream.capacity(clock.now()) if is_usable else 0
+        return messages.LoadReport(
+            self.running, len(self.queue), limit, self.upstream.state
+        )
+
+    async def handle(self, call: messages.Call) -> messages.Answer:
+        """Run one call and return what became of it; raises nothing.
+
+        A cancellation of the task means that the caller gave up: queued
+        work is dropped and running work is cancelled.
+        """
+        deadline = clock.now() + call.deadline_ms / 1000
+        self.active += 1
+        try:
+            answer = await self._admit(call, deadline)
+        except errors.RequestError as e:
+            answer = refusal(e)
+        except Exception:
+            _LOG.exception('Unexpected error while handling a call.')
+            answer = refusal(errors.RequestError(errors.ErrorKind.INTERNAL))
+            answer.attempts_used = call.attempts
+        finally:
+            self.active -= 1
+        answer.call_id = call.call_id
+        answer.load = self.load()
+        _ANSWERED.inc(kind=answer.kind.label)
+        return answer
+
+    async def _admit(
+        self, call: messages.Call, deadline: float
+    ) -> messages.Answer:
+        if not self.upstream.is_ready():
+            raise errors.RequestError(
+                errors.ErrorKind.UPSTREAM_UNREACHABLE,
+                'The upstream is not ready.',
+                retry_after_ms=1000,
+            )
+        if self.options.is_pass_through:
+            return await self._dispatch(call, deadline)
+        if self.view.is_quarantined(call.fingerprint):
+            raise errors.RequestError(errors.ErrorKind.QUARANTINED)
+        if not self.view.is_suspect(call.fingerprint):
+            return await self._run_in_slot(call, deadline)
+        try:
+            async with asyncio.timeout(deadline - clock.now()):
+                await self.suspect_lock.acquire()
+        except TimeoutError as e:
+            raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED) from e
+        try:
+            if self.view.is_quarantined(call.fingerprint):
+                raise errors.RequestError(errors.ErrorKind.QUARANTINED)
+            return await self._run_in_slot(call, deadline)
+        finally:
+            self.suspect_lock.release()
+
+    async def _run_in_slot(
+        self, call: messages.Call, deadline: float
+    ) -> messages.Answer:
+        await self._take_slot(call, deadline)
+        try:
+            if not call.operation_id or call.is_idempotent:
+                return await self._dispatch(call, deadline)
+            return await self._run_operation(call, deadline)
+        finally:
+            self.running -= 1
+            self._start_waiting()
+
+    async def _take_slot(self, call: messages.Call, deadline: float) -> None:
+        now = clock.now()
+        if not self.queue and self.upstream.may_start(self.running, now):
+            self.running += 1
+            return
+        future: asyncio.Future[None]
+        future = asyncio.get_running_loop().create_future()
+        item = fair_queue.Item(
+            call.workspace, call.priority, deadline, now, future
+        )
+        shed = self.queue.push(item, now)
+        if shed is not None:
+            self._refuse_item(shed, errors.ErrorKind.OVERLOADED)
+        # A slot may be free although others wait: a stalled upstream frees
+        # none by itself when its trial time comes.
+        self._start_waiting()
+        try:
+            await future
+        except asyncio.CancelledError:
+            if not self.queue.remove(item) and is_granted(future):
+                self.running -= 1
+                self._start_waiting()
+            raise
+
+    def _refuse_item(
+        self, item: fair_queue.Item, kind: errors.ErrorKind
+    ) -> None:
+        future: asyncio.Future[None] = item.payload
+        if future.done():
+            return
+        _SHED.inc(priority=item.priority.name.lower())
+        retry_after_s = self.queue.retry_after_s(clock.now())
+        future.set_exception(
+            errors.RequestError(
+                kind, retry_after_ms=max(1, int(retry_after_s * 1000))
+            )
+        )
+
+    def _start_waiting(self) -> None:
+        """Give free slots to waiting work."""
+        now = clock.now()
+        while self.queue and self.upstream.may_start(self.running, now):
+            item = self.queue.pop(now)
+            if item is None:
+                break
+            future: asyncio.Future[None] = item.payload
+            if not future.done():
+                self.running += 1
+                future.set_result(None)
+        self._expire(now)
+
+    def _expire(self, now: float) -> None:
+        for item in self.queue.expire(now):
+            kind = errors.ErrorKind.OVERLOADED
+            if now >= item.deadline:
+                kind = errors.ErrorKind.DEADLINE_PASSED
+            self._refuse_item(item, kind)
+
+    async def run(self) -> None:
+        """Drop work that waited too long until cancelled."""
+        while True:
+            await asyncio.sleep(_EXPIRE_INTERVAL_S)
+            if self.queue:
+                self._start_waiting()
+
+    async def _run_operation(
+        self, call: messages.Call, deadline: float
+    ) -> messages.Answer:
+        attempt_id = messages.AttemptId(secrets.token_hex(16))
+        found = await self.claimer.claim(
+            call, attempt_id, request_digest(call), deadline
+        )
+        if found is not None:
+            return found
+        try:
+            answer = await self._dispatch(call, deadline)
+        except errors.RequestError as e:
+            if errors.ANSWERS[e.kind].outcome is errors.Outcome.NOT_RUN:
+                await self.claimer.release_now(call, attempt_id)
+            else:
+                self.claimer.complete_unknown(call, attempt_id)
+            raise
+        except BaseException:
+            self.claimer.complete_unknown(call, attempt_id)
+            raise
+        if answer.kind is errors.ErrorKind.NONE:
+            await self.claimer.complete(call, attempt_id, answer)
+        elif answer.outcome is errors.Outcome.NOT_RUN:
+            await self.claimer.release_now(call, attempt_id)
+        else:
+            self.claimer.complete_unknown(call, attempt_id)
+        return answer
+
+    async def _dispatch(
+        self, call: messages.Call, deadline: float
+    ) -> messages.Answer:
+        now = clock.now()
+        if now >= deadline:
+            raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
+        client = self.upstream.client
+        if client is None or call.attempts < 1:
+            raise errors.RequestError(errors.ErrorKind.ATTEMPTS_USED)
+        incarnation = self.upstream.incarnation
+        entry = self.contexts.open(call, deadline, now)
+        _DISPATCHED.inc(service=call.service)
+        try:
+            outcome = await self._send(client, call, entry, deadline)
+        finally:
+            self.contexts.close(entry)
+        ended = clock.now()
+        self._learn(outcome, ended - now, ended)
+        if outcome.kind is errors.ErrorKind.UPSTREAM_LOST:
+            self.crash_watch.note(call, incarnation, client)
+        return self._to_answer(call, entry, outcome)
+
+    async def _send(
+        self,
+        client: upstream_client.UpstreamClient,
+        call: messages.Call,
+        entry: context.Running,
+        deadline: float,
+    ) -> _Dispatched:
+        block = request_block(call, entry, deadline)
+        try:
+            answer = await client.send(
+                call.method, call.path, block, call.body, deadline
+            )
+        except errors.RequestError as e:
+            return _Dispatched(e.kind, None, e.detail)
+        echo = upstream_client.find_header(answer.headers, headers.CONTEXT)
+        if echo is not None and echo != entry.token.encode():
+            _LOG.warning('Upstream gave the answer of another request.')
+            return _Dispatched(
+                errors.ErrorKind.ANSWER_CUT,
+                None,
+                'The upstream gave the answer of another request.',
+            )
+        if upstream_client.is_shed(answer):
+            return _Dispatched(errors.ErrorKind.UPSTREAM_SHED, answer, '')
+        return _Dispatched(errors.ErrorKind.NONE, answer, '')
+
+    def _learn(
+        self, outcome: _Dispatched, latency_s: float, now: float
+    ) -> None:
+        if outcome.answer is not None:
+            self.upstream.on_answer(now)
+        self.upstream.limit.on_sample(
+            latency_s, self.running, outcome.kind in _DROP_KINDS, now
+        )
+
+    def _to_answer(
+        self,
+        call: messages.Call,
+        entry: context.Running,
+        outcome: _Dispatched,
+    ) -> messages.Answer:
+        rule = errors.ANSWERS[outcome.kind]
+        used = call.attempts - entry.budget.remaining
+        if rule.outcome is errors.Outcome.NOT_RUN:
+            # Nothing ran, so the dispatch itself costs nothing either.
+            used -= 1
+        answer = messages.Answer(
+            kind=outcome.kind,
+            outcome=rule.outcome,
+            status=rule.status,
+            detail=outcome.detail or rule.text,
+            attempts_used=max(0, used),
+            is_final=entry.has_given_up,
+        )
+        if outcome.answer is not None:
+            answer.status = outcome.answer.status
+            answer.headers = headers.to_block(outcome.answer.headers)
+            answer.body = outcome.answer.body
+        return answer
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for the dump."""
+        return {
+            'running': self.running,
+            'queued': len(self.queue),
+            'active': self.active,
+            'contexts': len(self.contexts.running),
+        }
+
+
+def is_granted(future: asyncio.Future[None]) -> bool:
+    """Return whether a waiting call was given a slot."""
+    return (
+        future.done() and not future.cancelled() and future.exception() is None
+    )
+
+
+def refusal(error: errors.RequestError) -> messages.Answer:
+    """Return the answer for a call that failed with error."""
+    rule = errors.ANSWERS[error.kind]
+    return messages.Answer(
+        kind=error.kind,
+        outcome=rule.outcome,
+        status=rule.status,
+        detail=error.detail,
+        retry_after_ms=error.retry_after_ms,
+    )
+
+
+def request_digest(call: messages.Call) -> bytes:
+    """Return what tells two requests under one operation id apart."""
+    digest = hashlib.sha256()
+    for part in (call.method.encode(), call.path.encode(), call.body):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.digest()
+
+
+def request_block(
+    call: messages.Call, entry: context.Running, deadline: float
+) -> bytes:
+    """Return the headers that the upstream gets; never a key."""
+    left_ms = max(1, int((deadline - clock.now()) * 1000))
+    own: collections.abc.Iterable[tuple[bytes, str]] = (
+        (headers.CONTEXT, entry.token),
+        (headers.DEADLINE_MS, str(left_ms)),
+        (headers.ATTEMPTS, str(entry.budget.remaining)),
+        (headers.WORKSPACE, call.workspace),
+        (headers.OPERATION, call.operation_id),
+    )
+    lines = [
+        b'%s: %s\r\n' % (name, value.encode()) for name, value in own if value
+    ]
+    return call.headers + b''.join(lines)
--- /dev/null
+++ b/godwitstall/node/entry.py
@@ -0,0 +1,503 @@
+"""The entry side of a node: HTTP requests of callers and onward calls.
+
+Two ASGI applications share one path. The caller listener finds the workspace
+by the key and takes a rate token; the upstream listener finds it by the
+context of a request that the own upstream runs now. Then an owner is chosen
+and the call is sent there, again elsewhere only where that is safe.
+"""
+
+import asyncio
+import collections.abc
+import dataclasses
+import hashlib
+import json
+import re
+import typing
+import uuid
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+from godwitstall.node import announcements
+from godwitstall.node import context
+from godwitstall.node import control_session
+from godwitstall.node import dispatch
+from godwitstall.node import headers
+from godwitstall.node import relay
+from godwitstall.node import upstream as upstream_module
+from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import view as view_module
+from godwitstall import settings
+
+_LOG = logs.get('entry')
+_REQUESTS = metrics.counter(
+    'requests_total', 'Requests by workspace and error kind.'
+)
+
+# A caller that hangs up is noticed only on calls longer than this, seconds:
+# watching costs a task, which most calls are too short to need.
+_WATCH_AFTER_S = 0.01
+
+_ANNOUNCE_PATH = b'/announce'
+
+# Segments that an upstream could resolve to another path than the route
+# table saw: dot segments, empty segments and encoded slashes or dots.
+_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
+
+_UUID_V7 = 7
+
+# A node without a lease is worth another try after this, milliseconds.
+_NO_LEASE_RETRY_MS = 1000
+
+# Attempts of a chain in comparison runs without limits.
+_UNBOUNDED_ATTEMPTS = 1_000_000
+
+Scope = dict[str, typing.Any]
+Receive = collections.abc.Callable[
+    [], collections.abc.Awaitable[dict[str, typing.Any]]
+]
+Send = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One HTTP request, read whole."""
+
+    # HTTP method.
+    method: str
+    # Path without the query.
+    path: str
+    # Path with the query.
+    target: str
+    # Headers, names in lower case.
+    pairs: list[tuple[bytes, bytes]]
+    # Body, whole.
+    body: bytes
+    # Arrival, seconds of clock.now().
+    received_at: float
+
+    def header(self, name: bytes) -> str:
+        """Return a header as text, empty when absent.
+
+        Errors: RequestError of kind BAD_REQUEST when the header stands
+        twice or is not ASCII, since parts could read it differently.
+        """
+        values = [value for key, value in self.pairs if key == name]
+        if not values:
+            return ''
+        if len(values) > 1 or not values[0].isascii():
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST,
+                f'Header {name.decode()} must stand once, in ASCII.',
+            )
+        return values[0].decode().strip()
+
+    def number(self, name: bytes, default: int) -> int:
+        """Return a header as a whole number from 1 up.
+
+        Errors: RequestError of kind BAD_REQUEST for anything else.
+        """
+        text = self.header(name)
+        if not text:
+            return default
+        if not text.isdecimal() or not 1 <= int(text) < 2**31:
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST,
+                f'Header {name.decode()} must be a number from 1, '
+                f'not {text!r}.',
+            )
+        return int(text)
+
+
+class Entry:
+    """Serves the caller listener and the upstream listener."""
+
+    def __init__(
+        self,
+        options: settings.NodeOptions,
+        view: view_module.View,
+        session: control_session.ControlSession,
+        allowance: allowance_module.Allowance,
+        contexts: context.Contexts,
+        upstream: upstream_module.Upstream,
+        sender: relay.Relay,
+    ) -> None:
+        self.options = options
+        self.view = view
+        self.session = session
+        self.allowance = allowance
+        self.contexts = contexts
+        self.upstream = upstream
+        self.sender = sender
+        # Whether answers ask callers to close their connections.
+        self.is_stopping = False
+        # Requests inside the applications.
+        self.active = 0
+
+    async def caller_app(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """ASGI application for callers."""
+        await self._serve(scope, receive, send, self._admit_caller)
+
+    async def upstream_app(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """ASGI application for the own upstream."""
+        if scope.get('raw_path') == _ANNOUNCE_PATH:
+            await self._serve(scope, receive, send, self._announce)
+            return
+        await self._serve(scope, receive, send, self._admit_onward)
+
+    async def _serve(
+        self,
+        scope: Scope,
+        receive: Receive,
+        send: Send,
+        process: collections.abc.Callable[
+            [Request], collections.abc.Awaitable[messages.Answer]
+        ],
+    ) -> None:
+        if scope['type'] != 'http':
+            return
+        self.active += 1
+        watch = _Watch(receive)
+        try:
+            request = await self._read(scope, receive)
+            watch.start()
+            answer = await process(request)
+        except errors.RequestError as e:
+            answer = dispatch.refusal(e)
+        except _CallerGone:
+            return
+        except asyncio.CancelledError:
+            if watch.has_fired:
+                # The caller hung up; nobody reads an answer.
+                return
+            raise
+        except Exception:
+            _LOG.exception('Unexpected error while serving a request.')
+            answer = dispatch.refusal(
+                errors.RequestError(errors.ErrorKind.INTERNAL)
+            )
+        finally:
+            watch.stop()
+            self.active -= 1
+        await self._respond(send, answer)
+
+    async def _read(self, scope: Scope, receive: Receive) -> Request:
+        raw_path: bytes = scope['raw_path']
+        query: bytes = scope['query_string']
+        body = b''
+        is_more = True
+        while is_more:
+            event = await receive()
+            if event['type'] == 'http.disconnect':
+                raise _CallerGone()
+            body += event.get('body', b'')
+            is_more = event.get('more_body', False)
+            if len(body) > self.options.max_body_bytes:
+                raise errors.RequestError(
+                    errors.ErrorKind.BODY_TOO_LARGE,
+                    f'The body may have {self.options.max_body_bytes} bytes.',
+                )
+        if not raw_path.isascii() or not query.isascii():
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST, 'The path must be ASCII.'
+            )
+        if not raw_path.startswith(b'/') or _UNSAFE_PATH.search(raw_path):
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST,
+                'The path must have no empty, dot or encoded segments.',
+            )
+        target = raw_path + b'?' + query if query else raw_path
+        return Request(
+            scope['method'],
+            raw_path.decode(),
+            target.decode(),
+            scope['headers'],
+            body,
+            clock.now(),
+        )
+
+    async def _announce(self, request: Request) -> messages.Answer:
+        if request.method != 'POST':
+            raise errors.RequestError(errors.ErrorKind.NO_ROUTE)
+        announcement = announcements.parse(request.body, self.options.service)
+        self.upstream.on_announcement(announcement, clock.now())
+        return messages.Answer(outcome=errors.Outcome.RUN, status=204)
+
+    async def _admit_caller(self, request: Request) -> messages.Answer:
+        now = request.received_at
+        self._check_lease(now)
+        route = self._match(request)
+        key = self._find_key(request, route)
+        workspace = key.workspace if key else messages.WorkspaceName('')
+        call = self._build(request, route, workspace, now)
+        if key is not None:
+            call.key_id = key.key_id
+        call.priority = _lower(
+            route.priority, request.header(headers.PRIORITY)
+        )
+        attempts = self._attempts(request, route)
+        deadline = now + call.deadline_ms / 1000
+        if self.view.is_quarantined(call.fingerprint):
+            answer = dispatch.refusal(
+                errors.RequestError(errors.ErrorKind.QUARANTINED)
+            )
+        else:
+            answer = await self._spend_and_send(
+                call, route, attempts, deadline
+            )
+        _REQUESTS.inc(workspace=workspace, kind=answer.kind.label)
+        return answer
+
+    async def _spend_and_send(
+        self,
+        call: messages.Call,
+        route: messages.Route,
+        attempts: int,
+        deadline: float,
+    ) -> messages.Answer:
+        try:
+            if call.workspace and not self.options.is_pass_through:
+                await self._take_token(call.workspace, deadline)
+        except errors.RequestError as e:
+            return dispatch.refusal(e)
+        return await self.sender.send(call, route, attempts, deadline)
+
+    async def _take_token(
+        self, workspace: messages.WorkspaceName, deadline: float
+    ) -> None:
+        if self.allowance.try_take(workspace, clock.now()):
+            return
+        self.session.grant_wanted.set()
+        await self.allowance.take(workspace, deadline)
+        # The wait may have outlasted the lease.
+        self._check_lease(clock.now())
+
+    async def _admit_onward(self, request: Request) -> messages.Answer:
+        now = request.received_at
+        self._check_lease(now)
+        parent = self.contexts.find(request.header(headers.CONTEXT))
+        if parent is None:
+            raise errors.RequestError(errors.ErrorKind.CONTEXT_INVALID)
+        if parent.key_id and self.view.key_by_id(parent.key_id) is None:
+            raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
+        route = self._match(request)
+        call = self._build(request, route, parent.workspace, now)
+        call.key_id = parent.key_id
+        call.priority = parent.priority
+        deadline = min(parent.deadline, now + call.deadline_ms / 1000)
+        call.deadline_ms = max(1, int((deadline - now) * 1000))
+        attempts = parent.budget.allot(self._attempts(request, route))
+        used = attempts
+        try:
+            answer = await self.sender.send(call, route, attempts, deadline)
+            used = answer.attempts_used
+        finally:
+            parent.budget.give_back(attempts - used)
+        if answer.kind is not errors.ErrorKind.NONE:
+            parent.has_given_up = True
+        return answer
+
+    def _attempts(self, request: Request, route: messages.Route) -> int:
+        """Return how many runs the request may cause."""
+        if self.options.is_pass_through:
+            return _UNBOUNDED_ATTEMPTS
+        limit = request.number(headers.ATTEMPTS, route.attempts)
+        return min(route.attempts, limit)
+
+    def _check_lease(self, now: float) -> None:
+        if not self.session.is_fresh(now):
+            raise errors.RequestError(
+                errors.ErrorKind.CONTROL_LOST,
+                retry_after_ms=_NO_LEASE_RETRY_MS,
+            )
+
+    def _match(self, request: Request) -> messages.Route:
+        route = self.view.routes.match(request.method, request.path)
+        if route is None:
+            raise errors.RequestError(errors.ErrorKind.NO_ROUTE)
+        return route
+
+    def _find_key(
+        self, request: Request, route: messages.Route
+    ) -> messages.Key | None:
+        if route.is_open:
+            return None
+        key = request.header(headers.KEY)
+        if not key:
+            scheme, _, value = request.header(headers.AUTHORIZATION).partition(
+                ' '
+            )
+            if scheme.lower() == 'bearer':
+                key = value.strip()
+        if not key:
+            raise errors.RequestError(errors.ErrorKind.KEY_MISSING)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = self.view.key_by_digest(digest)
+        if found is None:
+            raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
+        return found
+
+    def _build(
+        self,
+        request: Request,
+        route: messages.Route,
+        workspace: messages.WorkspaceName,
+        now: float,
+    ) -> messages.Call:
+        longest_ms = route.timeout_ms or self.options.default_deadline_ms
+        return messages.Call(
+            service=route.service,
+            method=request.method,
+            path=request.target,
+            headers=headers.to_block(request.pairs),
+            body=request.body,
+            workspace=workspace,
+            route_name=route.name,
+            deadline_ms=min(
+                longest_ms, request.number(headers.DEADLINE_MS, longest_ms)
+            ),
+            operation_id=_operation_id(request),
+            is_idempotent=route.is_idempotent,
+            fingerprint=fingerprint(workspace, request),
+        )
+
+    async def _respond(self, send: Send, answer: messages.Answer) -> None:
+        pairs, body = response_parts(answer)
+        if self.is_stopping:
+            pairs.append((b'connection', b'close'))
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': answer.status,
+                'headers': pairs,
+            }
+        )
+        await send({'type': 'http.response.body', 'body': body})
+
+
+class _CallerGone(Exception):
+    """The caller hung up before its request was whole."""
+
+
+class _Watch:
+    """Cancels the task of a request when its caller hangs up."""
+
+    def __init__(self, receive: Receive) -> None:
+        self.receive = receive
+        # Whether the caller hung up while the request was served.
+        self.has_fired = False
+        self.task: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.served: asyncio.Task[typing.Any] | None = None
+
+    def start(self) -> None:
+        """Watch from a short time on, since most requests end before."""
+        self.served = asyncio.current_task()
+        self.timer = asyncio.get_running_loop().call_later(
+            _WATCH_AFTER_S, self._start_task
+        )
+
+    def _start_task(self) -> None:
+        self.task = asyncio.create_task(self._wait())
+
+    async def _wait(self) -> None:
+        event = await self.receive()
+        while event['type'] != 'http.disconnect':
+            event = await self.receive()
+        self.has_fired = True
+        if self.served is not None:
+            self.served.cancel()
+
+    def stop(self) -> None:
+        """End the watch."""
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.task is not None:
+            self.task.cancel()
+
+
+def _lower(priority: messages.Priority, wanted: str) -> messages.Priority:
+    """Return the lower of the route's priority and the caller's wish."""
+    if not wanted:
+        return priority
+    try:
+        asked = messages.Priority[wanted.upper()]
+    except KeyError as e:
+        names = ', '.join(p.name.lower() for p in messages.Priority)
+        raise errors.RequestError(
+            errors.ErrorKind.BAD_REQUEST,
+            f'Header godwitstall-priority must be one of {names}.',
+        ) from e
+    return max(priority, asked, key=lambda p: p.value)
+
+
+def _operation_id(request: Request) -> messages.OperationId:
+    text = request.header(headers.OPERATION)
+    if not text:
+        return messages.OperationId('')
+    try:
+        parsed = uuid.UUID(text)
+    except ValueError as e:
+        raise errors.RequestError(errors.ErrorKind.OPERATION_INVALID) from e
+    if parsed.version != _UUID_V7:
+        raise errors.RequestError(errors.ErrorKind.OPERATION_INVALID)
+    return messages.OperationId(str(parsed))
+
+
+def fingerprint(workspace: str, request: Request) -> bytes:
+    """Return what makes two requests the same for the crash reports."""
+    digest = hashlib.sha256()
+    for part in (
+        workspace.encode(),
+        request.method.encode(),
+        request.target.encode(),
+        request.body,
+    ):
+        digest.update(len(part).to_bytes(8, 'big'))
+        digest.update(part)
+    return digest.digest()
+
+
+def response_parts(
+    answer: messages.Answer,
+) -> tuple[list[tuple[bytes, bytes]], bytes]:
+    """Return headers and body of the HTTP response for an answer."""
+    own = [
+        (headers.OUTCOME, answer.outcome.label.encode()),
+        (headers.ATTEMPTS_USED, b'%d' % answer.attempts_used),
+    ]
+    if answer.is_replayed:
+        own.append((headers.REPLAYED, b'1'))
+    if answer.kind is errors.ErrorKind.NONE:
+        pairs = headers.from_block(answer.headers) + own
+        if answer.status not in (204, 304):
+            pairs.append((b'content-length', b'%d' % len(answer.body)))
+        return pairs, answer.body
+    body = json.dumps(
+        {
+            'error': answer.kind.label,
+            'outcome': answer.outcome.label,
+            'detail': answer.detail,
+            'retry_after_ms': answer.retry_after_ms,
+        }
+    ).encode()
+    own += [
+        (headers.ERROR, answer.kind.label.encode()),
+        (b'content-type', b'application/json'),
+        (b'content-length', b'%d' % len(body)),
+    ]
+    if answer.retry_after_ms:
+        seconds = -(-answer.retry_after_ms // 1000)
+        own += [
+            (headers.RETRY_AFTER, b'%d' % seconds),
+            (headers.RETRY_AFTER_MS, b'%d' % answer.retry_after_ms),
+        ]
+    return own, body
--- /dev/null
+++ b/godwitstall/node/forward.py
@@ -0,0 +1,175 @@
+"""Links to other nodes, over which calls reach the owners of upstreams.
+
+One link a peer, opened at the first call and kept. Answers are matched by
+call id; an answer whose call is gone is counted and dropped.
+"""
+
+import asyncio
+import itertools
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import link as link_module
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+
+_LOG = logs.get('forward')
+_STRAY = metrics.counter(
+    'stray_answers_total', 'Answers from owners that no call waited for.'
+)
+
+# The owner answers a call that passed its deadline by itself; the entry
+# waits this much longer for that answer, seconds.
+_ANSWER_GRACE_S = 0.25
+
+_CONNECT_TIMEOUT_S = 1.0
+
+# After a failed connection the peer is not tried again for this long.
+_RECONNECT_S = 0.5
+
+
+class _Peer:
+    """Link to one node and the calls on it."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.link: link_module.Link | None = None
+        # Calls that wait for their answer, by call id.
+        self.waiting: dict[int, asyncio.Future[messages.Answer]] = {}
+        self.reader: asyncio.Task[None] | None = None
+        # Serves to open one connection at a time.
+        self.lock = asyncio.Lock()
+        # No new connection before this time, seconds.
+        self.retry_at = 0.0
+
+    def is_open(self) -> bool:
+        """Return whether the link can be used."""
+        return self.link is not None and not self.link.is_closed
+
+    async def on_message(self, message: messages.Message) -> None:
+        """Hand an answer to its call."""
+        if not isinstance(message, messages.Answer):
+            _LOG.warning('Unexpected %s.', type(message).__name__)
+            return
+        future = self.waiting.get(message.call_id)
+        if future is None or future.done():
+            _STRAY.inc()
+            return
+        future.set_result(message)
+
+    async def read(self, link: link_module.Link) -> None:
+        """Read the link to its end, then fail the calls on it."""
+        try:
+            await link.run(self.on_message)
+        finally:
+            for future in self.waiting.values():
+                if not future.done():
+                    future.set_exception(
+                        errors.RequestError(errors.ErrorKind.PEER_LOST)
+                    )
+
+
+class Forwarder:
+    """Sends calls to owner nodes."""
+
+    def __init__(
+        self, identity: link_module.Identity, local_host: str
+    ) -> None:
+        self.identity = identity
+        # Address that outgoing links come from.
+        self.local_host = local_host
+        self.peers: dict[str, _Peer] = {}
+        self.call_ids = itertools.count(1)
+
+    async def call(self, address: str, call: messages.Call) -> messages.Answer:
+        """Send a call to the owner at address and return its answer.
+
+        Errors: RequestError of kind UPSTREAM_UNREACHABLE when nothing was
+        sent, PEER_LOST or UPSTREAM_TIMEOUT when the outcome is unknown. A
+        cancellation tells the owner that the caller gave up.
+        """
+        peer = self.peers.get(address)
+        if peer is None:
+            peer = self.peers[address] = _Peer(address)
+        if not peer.is_open():
+            await self._open(peer)
+        call.call_id = next(self.call_ids)
+        future: asyncio.Future[messages.Answer]
+        future = asyncio.get_running_loop().create_future()
+        peer.waiting[call.call_id] = future
+        timer = asyncio.get_running_loop().call_later(
+            call.deadline_ms / 1000 + _ANSWER_GRACE_S, _time_out, future
+        )
+        assert peer.link is not None
+        try:
+            peer.link.send(call)
+            return await future
+        except errors.LinkError as e:
+            raise errors.RequestError(
+                errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
+            ) from e
+        except asyncio.CancelledError:
+            if peer.is_open():
+                peer.link.send(messages.Cancel(call.call_id))
+            raise
+        finally:
+            timer.cancel()
+            del peer.waiting[call.call_id]
+
+    async def _open(self, peer: _Peer) -> None:
+        async with peer.lock:
+            if peer.is_open():
+                return
+            if clock.now() < peer.retry_at:
+                raise errors.RequestError(
+                    errors.ErrorKind.UPSTREAM_UNREACHABLE,
+                    f'No link to {peer.address}.',
+                )
+            try:
+                link = await link_module.connect(
+                    peer.address,
+                    self.identity,
+                    _CONNECT_TIMEOUT_S,
+                    self.local_host,
+                )
+            except errors.LinkError as e:
+                peer.retry_at = clock.now() + _RECONNECT_S
+                raise errors.RequestError(
+                    errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
+                ) from e
+            peer.link = link
+            peer.reader = asyncio.create_task(peer.read(link))
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Close links to nodes that are gone, once no call uses them."""
+        for address, peer in list(self.peers.items()):
+            if address in addresses or peer.waiting:
+                continue
+            if peer.link is not None:
+                peer.link.close()
+            del self.peers[address]
+
+    def close(self) -> None:
+        """Close all links."""
+        for peer in self.peers.values():
+            if peer.link is not None:
+                peer.link.close()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for the dump."""
+        return {
+            address: {
+                'is_open': peer.is_open(),
+                'waiting': len(peer.waiting),
+            }
+            for address, peer in self.peers.items()
+        }
+
+
+def _time_out(future: asyncio.Future[messages.Answer]) -> None:
+    if not future.done():
+        future.set_exception(
+            errors.RequestError(errors.ErrorKind.UPSTREAM_TIMEOUT)
+        )
--- /dev/null
+++ b/godwitstall/node/program.py
@@ -0,0 +1,260 @@
+"""godwitstall-node: the process beside each upstream.
+
+Joins the parts of a node, watches for a planned stop and serves the admin
+listener. Run it as: godwitstall-node --settings node.toml
+"""
+
+import asyncio
+import collections.abc
+import pathlib
+import random
+import signal
+import sys
+import typing
+
+from absl import app
+from absl import flags
+
+from godwitstall import admin
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import http_server
+from godwitstall import link as link_module
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall.node import claims
+from godwitstall.node import context
+from godwitstall.node import control_session
+from godwitstall.node import crashes
+from godwitstall.node import dispatch
+from godwitstall.node import entry
+from godwitstall.node import forward
+from godwitstall.node import membership
+from godwitstall.node import peer_server
+from godwitstall.node import relay
+from godwitstall.node import upstream as upstream_module
+from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import picker as picker_module
+from godwitstall.routing import view as view_module
+from godwitstall import settings
+
+_LOG = logs.get('node')
+
+_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file, TOML.')
+
+# Tokens live this long after their request was sent, seconds; the same as
+# grant_lifetime_ms of control.
+_TOKEN_LIFETIME_S = 1.0
+
+# Time for outcomes on their way to control at a planned stop, seconds.
+_RECORD_WAIT_S = 5.0
+
+_POLL_S = 0.02
+
+
+class Node:
+    """All parts of one node."""
+
+    def __init__(
+        self, options: settings.NodeOptions, fleet: settings.FleetOptions
+    ) -> None:
+        self.options = options
+        identity = link_module.Identity(
+            messages.Role.NODE, options.node_id, fleet.secret()
+        )
+        local_host, _ = link_module.split_address(options.link_address)
+        self.view = view_module.View()
+        self.allowance = allowance_module.Allowance(
+            _TOKEN_LIFETIME_S, options.grant_wait_ms / 1000
+        )
+        self.session = control_session.ControlSession(
+            options, fleet, identity, self.view, self.allowance
+        )
+        self.contexts = context.Contexts()
+        self.membership = membership.Membership(
+            options, self.view, self.session
+        )
+        self.upstream = upstream_module.Upstream(
+            options, self.contexts, self.membership.on_upstream_change
+        )
+        self.membership.upstream = self.upstream
+        self.claimer = claims.Claimer(options.node_id, self.session)
+        self.owner = dispatch.Owner(
+            options,
+            self.view,
+            self.upstream,
+            self.contexts,
+            self.claimer,
+            crashes.CrashWatch(options.node_id, self.upstream, self.session),
+        )
+        self.forwarder = forward.Forwarder(identity, local_host)
+        self.relay = relay.Relay(
+            options,
+            picker_module.Picker(self.view, options.zone, random.Random()),
+            self.forwarder,
+            self.owner,
+        )
+        self.entry = entry.Entry(
+            options,
+            self.view,
+            self.session,
+            self.allowance,
+            self.contexts,
+            self.upstream,
+            self.relay,
+        )
+        self.peers = peer_server.PeerServer(identity, self.owner)
+        self.listeners = [
+            http_server.HttpServer(
+                self.entry.caller_app,
+                options.caller_address,
+                options.max_header_bytes,
+            ),
+            http_server.HttpServer(
+                self.entry.upstream_app,
+                options.upstream_address,
+                options.max_header_bytes,
+            ),
+            admin.create_server(
+                options.admin_address, self.dump, self.is_healthy
+            ),
+        ]
+        self.tasks: list[asyncio.Task[None]] = []
+        self.view.on_change.append(self._on_view_change)
+
+    @classmethod
+    def from_config(
+        cls, options: settings.NodeOptions, fleet: settings.FleetOptions
+    ) -> 'Node':
+        """Return a node for checked settings."""
+        return cls(options, fleet)
+
+    def _on_view_change(self) -> None:
+        self.forwarder.keep_only(
+            {member.address for member in self.view.members.values()}
+        )
+        rule = self.view.upstream_rule(self.options.node_id)
+        self.upstream.set_max_slots(rule.max_slots if rule else 0)
+
+    def is_healthy(self) -> bool:
+        """Return whether the node serves calls."""
+        return self.session.is_fresh(clock.now())
+
+    async def start(self) -> None:
+        """Start all listeners and tasks."""
+        await self.peers.start(self.options.link_address)
+        for listener in self.listeners:
+            await listener.start()
+        for work in (
+            self.session.run(),
+            self.upstream.run(),
+            self.owner.run(),
+            self.membership.run(),
+        ):
+            self.tasks.append(asyncio.create_task(_guard(work)))
+        _LOG.info('Node %s started.', self.options.node_id)
+
+    async def stop(self) -> None:
+        """Planned stop: no request is cut.
+
+        Other nodes may send work until their lease of the state before the
+        leave has ended, so the node serves for one lease more.
+        """
+        _LOG.info('Node %s is stopping.', self.options.node_id)
+        self.entry.is_stopping = True
+        await self.membership.leave()
+        await asyncio.sleep(self.options.lease_s)
+        end = clock.now() + self.options.stop_timeout_s
+        while self._is_busy() and clock.now() < end:
+            await asyncio.sleep(_POLL_S)
+        for listener in self.listeners:
+            await listener.stop(max(1.0, end - clock.now()))
+        await self.claimer.drain(_RECORD_WAIT_S)
+        await self.peers.stop()
+        self.forwarder.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        _LOG.info('Node %s stopped.', self.options.node_id)
+
+    def _is_busy(self) -> bool:
+        return bool(
+            self.owner.active or self.entry.active or self.contexts.running
+        )
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the whole state for the admin listener; holds no key."""
+        return {
+            'node_id': self.options.node_id,
+            'zone': self.options.zone,
+            'service': self.options.service,
+            'is_stopping': self.entry.is_stopping,
+            'active': self.entry.active,
+            'session': self.session.dump(),
+            'upstream': self.upstream.dump(),
+            'owner': self.owner.dump(),
+            'relay': self.relay.dump(),
+            'members': {
+                node_id: {
+                    'service': member.service,
+                    'zone': member.zone,
+                    'address': member.address,
+                    'state': member.state.name.lower(),
+                    'is_drained': member.is_drained,
+                }
+                for node_id, member in self.view.members.items()
+            },
+        }
+
+
+async def _guard(
+    work: collections.abc.Coroutine[None, None, None],
+) -> None:
+    """Run a task that must not end by itself."""
+    try:
+        await work
+    except Exception:
+        _LOG.exception('A task failed; the node stops.')
+        signal.raise_signal(signal.SIGTERM)
+
+
+async def run(
+    options: settings.NodeOptions, fleet: settings.FleetOptions
+) -> None:
+    """Run a node until SIGTERM or SIGINT."""
+    node = Node.from_config(options, fleet)
+    wanted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, wanted.set)
+    await node.start()
+    await wanted.wait()
+    await node.stop()
+
+
+def _run(argv: list[str]) -> None:
+    if _SETTINGS.value is None or len(argv) > 1:
+        raise app.UsageError('Give --settings FILE and nothing else.')
+    try:
+        fleet, options, log_options = settings.load(
+            pathlib.Path(_SETTINGS.value), settings.NodeOptions
+        )
+    except errors.SettingsError as e:
+        for problem in e.problems:
+            print(problem, file=sys.stderr)
+        sys.exit(2)
+    logs.setup(log_options.level, log_options.parts)
+    try:
+        asyncio.run(run(options, fleet))
+    except OSError as e:
+        print(f'godwitstall-node: {e}', file=sys.stderr)
+        sys.exit(1)
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    app.run(_run)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/godwitstall/node/upstream.py
@@ -0,0 +1,297 @@
+"""What the node knows of its own upstream, and when it may get work.
+
+An upstream is up while it announces itself. Its health endpoint may mislead,
+so the node also looks at its own calls: an upstream that answers none of
+them for some seconds is stalled and gets no new work. It gets work again,
+slowly, when a call is answered after all, or when its probe is answered and
+the pause is over; each stall in a row doubles the pause.
+"""
+
+import asyncio
+import collections.abc
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall.limits import concurrency
+from godwitstall.limits import warmup
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall import metrics
+from godwitstall.node import announcements
+from godwitstall.node import context
+from godwitstall.node import upstream_client
+from godwitstall import settings
+
+_LOG = logs.get('upstream')
+_STATE_CHANGES = metrics.counter(
+    'upstream_state_changes_total', 'State changes of the upstream.'
+)
+
+# No answer to any call for this long means that the upstream is stalled.
+STALL_S = 3.0
+
+# Pause after a stall, doubled for each stall without an answered call.
+STALL_PAUSE_MIN_S = 1.0
+STALL_PAUSE_MAX_S = 60.0
+
+_PROBE_TIMEOUT_S = 1.0
+
+OnChange = collections.abc.Callable[[], None]
+
+
+class Upstream:
+    """The own upstream."""
+
+    def __init__(
+        self,
+        options: settings.NodeOptions,
+        contexts: context.Contexts,
+        on_change: OnChange,
+    ) -> None:
+        self.options = options
+        self.contexts = contexts
+        # Called after each change of state or slots.
+        self.on_change = on_change
+        self.state = messages.UpstreamState.DOWN
+        self.announcement: announcements.Announcement | None = None
+        # Time of the last announcement, seconds.
+        self.announced_at = 0.0
+        self.client: upstream_client.UpstreamClient | None = None
+        self.limit = concurrency.ConcurrencyLimit.from_config(
+            options.limit_policy, 1
+        )
+        self.warmup = warmup.WarmUp(0.0, 0.0)
+        # Time of the last whole answer of any kind, seconds.
+        self.answered_at = 0.0
+        self.is_stalled = False
+        # End of the pause after a stall, seconds.
+        self.paused_until = 0.0
+        # Length of the next pause, seconds.
+        self.stall_pause_s = STALL_PAUSE_MIN_S
+        # Upper bound from the release notes; 0 means none.
+        self.max_slots = 0
+
+    @property
+    def incarnation(self) -> int:
+        """Start number of the upstream process, 0 when there is none."""
+        return self.announcement.incarnation if self.announcement else 0
+
+    @property
+    def slots(self) -> int:
+        """Requests that the upstream may run at once."""
+        announced = self.announcement.slots if self.announcement else 0
+        if self.max_slots:
+            return min(announced, self.max_slots)
+        return announced
+
+    def is_ready(self) -> bool:
+        """Return whether new work may be dispatched."""
+        return (
+            self.state is messages.UpstreamState.READY
+            and self.client is not None
+        )
+
+    def capacity(self, now: float) -> int:
+        """Return how many requests may run at once now."""
+        share = self.warmup.share(now)
+        return max(1, int(self.limit.limit * share))
+
+    def on_announcement(
+        self, announcement: announcements.Announcement, now: float
+    ) -> None:
+        """Take in an announcement; a new incarnation starts afresh.
+
+        Errors: RequestError of kind BAD_REQUEST for an incarnation that is
+        older than the present one.
+        """
+        if announcement.incarnation < self.incarnation:
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST,
+                f'incarnation: {announcement.incarnation} is older than '
+                f'{self.incarnation}, which announced itself before.',
+            )
+        is_new = announcement.incarnation != self.incarnation
+        slots_before = self.slots
+        self.announcement = announcement
+        self.announced_at = now
+        if is_new:
+            self._start_incarnation(announcement, now)
+        elif self.slots != slots_before:
+            self.limit.set_max_slots(self.slots)
+            self.on_change()
+        if announcement.state == 'draining':
+            self._set_state(messages.UpstreamState.DRAINING)
+        else:
+            self._set_state(messages.UpstreamState.READY)
+
+    def _start_incarnation(
+        self, announcement: announcements.Announcement, now: float
+    ) -> None:
+        _LOG.info(
+            'Upstream %s incarnation %d announced, %d slots.',
+            announcement.service,
+            announcement.incarnation,
+            announcement.slots,
+        )
+        if self.client is not None:
+            self.client.close()
+        host, _, _ = self.options.upstream_address.rpartition(':')
+        self.client = upstream_client.UpstreamClient(
+            host,
+            announcement.port,
+            self.options.max_connections or announcement.connections,
+            self.options.max_answer_bytes,
+        )
+        self.limit = concurrency.ConcurrencyLimit.from_config(
+            self.options.limit_policy, self.slots
+        )
+        self.warmup = warmup.WarmUp(self.options.warmup_s, now)
+        self.answered_at = now
+        self.is_stalled = False
+        self.state = messages.UpstreamState.DOWN
+
+    def _set_state(self, state: messages.UpstreamState) -> None:
+        if state is self.state:
+            return
+        _LOG.info('Upstream is %s.', state.name.lower())
+        _STATE_CHANGES.inc(state=state.name.lower())
+        self.state = state
+        self.on_change()
+
+    def set_max_slots(self, max_slots: int) -> None:
+        """Apply the bound of a release note; 0 means none."""
+        if max_slots == self.max_slots:
+            return
+        self.max_slots = max_slots
+        if self.slots:
+            self.limit.set_max_slots(self.slots)
+
+    def mark_dead(self, incarnation: int) -> None:
+        """Stop work for a process that died until the next announcement."""
+        if incarnation == self.incarnation:
+            self._set_state(messages.UpstreamState.DOWN)
+
+    def on_answer(self, now: float) -> None:
+        """Note that the upstream answered a call."""
+        self.answered_at = now
+        self.stall_pause_s = STALL_PAUSE_MIN_S
+        if self.is_stalled:
+            self._end_stall(now)
+
+    def _end_stall(self, now: float) -> None:
+        _LOG.info('Upstream gets work again.')
+        self.is_stalled = False
+        self.answered_at = now
+        # It may still be catching up, so work comes back slowly.
+        self.warmup = warmup.WarmUp(self.options.warmup_s, now)
+        self.on_change()
+
+    def _start_stall(self, now: float) -> None:
+        self.is_stalled = True
+        self.paused_until = now + self.stall_pause_s
+        self.stall_pause_s = min(STALL_PAUSE_MAX_S, self.stall_pause_s * 2)
+        self.on_change()
+
+    def may_start(self, running: int, now: float) -> bool:
+        """Return whether one more request may be dispatched now."""
+        if not self.is_ready() or self.is_stalled:
+            return False
+        return running < self.capacity(now)
+
+    async def run(self) -> None:
+        """Watch announcements and stalls until cancelled."""
+        while True:
+            await asyncio.sleep(self.options.probe_interval_s)
+            now = clock.now()
+            silence = now - self.announced_at
+            if (
+                self.state is not messages.UpstreamState.DOWN
+                and silence > self.options.announce_timeout_s
+            ):
+                _LOG.warning(
+                    'Upstream has not announced itself for %.1f s.', silence
+                )
+                self._set_state(messages.UpstreamState.DOWN)
+            self._check_stall(now)
+            await self._probe(now)
+
+    def _check_stall(self, now: float) -> None:
+        oldest = self.contexts.oldest_start()
+        if self.is_stalled or oldest is None:
+            return
+        if now - oldest > STALL_S and now - self.answered_at > STALL_S:
+            _LOG.warning('Upstream answers no call; it gets no new work.')
+            self._start_stall(now)
+
+    async def _probe(self, now: float) -> None:
+        """Ask the health endpoint when no call has shown life lately.
+
+        Only silence counts: what a health endpoint says may be wrong, but
+        one that cannot even answer belongs to no working upstream.
+        """
+        if not self.is_ready() or self.client is None:
+            return
+        if self.announcement is None or now < self.paused_until:
+            return
+        if now - self.answered_at < self.options.probe_interval_s:
+            return
+        incarnation = self.incarnation
+        try:
+            await self.client.send(
+                'GET',
+                self.announcement.health_path,
+                b'',
+                b'',
+                now + _PROBE_TIMEOUT_S,
+            )
+        except errors.RequestError as e:
+            if await self.client.is_refused(_PROBE_TIMEOUT_S):
+                _LOG.warning('Upstream refuses connections: %s', e)
+                self.mark_dead(incarnation)
+            elif not self.is_stalled and (
+                clock.now() - self.answered_at > STALL_S
+            ):
+                _LOG.warning('Upstream answers no probe.')
+                self._start_stall(clock.now())
+            return
+        if self.contexts.oldest_start() is not None:
+            # A probe says nothing of calls that hang.
+            return
+        if self.is_stalled:
+            self._end_stall(clock.now())
+        self.answered_at = clock.now()
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return the state for the dump."""
+        now = clock.now()
+        return {
+            'state': self.state.name.lower(),
+            'incarnation': self.incarnation,
+            'slots': self.slots,
+            'limit': self.limit.limit,
+            'capacity': self.capacity(now) if self.is_ready() else 0,
+            'is_stalled': self.is_stalled,
+            'announced_ago_s': round(now - self.announced_at, 3),
+            'answered_ago_s': round(now - self.answered_at, 3),
+            'connections_busy': len(self.client.busy) if self.client else 0,
+            'connections_idle': len(self.client.idle) if self.client else 0,
+        }
+
+
+async def confirm_death(
+    client: upstream_client.UpstreamClient,
+    has_restarted: collections.abc.Callable[[], bool],
+    timeout_s: float,
+) -> bool:
+    """Return whether a process that lost a connection has died.
+
+    It has when a connection is refused or another incarnation announces
+    itself within timeout_s.
+    """
+    end = clock.now() + timeout_s
+    while clock.now() < end:
+        if has_restarted() or await client.is_refused(0.5):
+            return True
+        await asyncio.sleep(0.1)
+    return False
--- /dev/null
+++ b/godwitstall/node/upstream_client.py
@@ -0,0 +1,309 @@
+"""Pooled HTTP/1.1 connections to the own upstream.
+
+One connection carries one request at a time. It goes back to the pool only
+after a whole answer; after a timeout, a cancellation, a parse error or bytes
+that nobody asked for it is closed, so that a late answer cannot reach
+another request. An answer without Content-Length and chunked coding ends
+with the connection and cannot be told from a cut one; it counts as cut.
+
+The connection is an asyncio.Protocol, not a stream: a stream gives no sight
+of bytes that arrive while the connection is idle.
+
+Example:
+    client = UpstreamClient('127.0.0.1', 9000, 330, 1024 * 1024)
+    answer = await client.send('GET', '/orders/7', block, b'', deadline)
+"""
+
+import asyncio
+import dataclasses
+import typing
+
+import httptools
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import metrics
+from godwitstall.node import headers
+
+_OPENED = metrics.counter(
+    'upstream_connections_total', 'Connections opened to the upstream.'
+)
+_STRAY = metrics.counter(
+    'upstream_stray_bytes_total',
+    'Connections closed because of bytes that no request waited for.',
+)
+
+# Idle connections older than this are not used again: many HTTP servers
+# close after 5 s, and a request sent into a closing connection is lost.
+IDLE_LIMIT_S = 4.0
+
+_CONNECT_TIMEOUT_S = 1.0
+_FIRST_FINAL_STATUS = 200
+
+
+@dataclasses.dataclass(slots=True)
+class UpstreamAnswer:
+    """A whole answer."""
+
+    # HTTP status.
+    status: int
+    # Headers, names in lower case.
+    headers: list[tuple[bytes, bytes]]
+    # Body, whole.
+    body: bytes
+
+
+class _Connection(asyncio.Protocol):
+    """One connection; collects the answer to the request that it carries."""
+
+    def __init__(self, max_answer_bytes: int) -> None:
+        self.max_answer_bytes = max_answer_bytes
+        self.transport: asyncio.Transport | None = None
+        self.is_closed = False
+        # When the last answer was complete, seconds.
+        self.idle_since = 0.0
+        # Whether the upstream lets the connection be used again.
+        self.is_reusable = True
+        self.waiter: asyncio.Future[UpstreamAnswer] | None = None
+        self.has_answer_bytes = False
+        self.is_head = False
+        self.status = 0
+        self.answer_headers: list[tuple[bytes, bytes]] = []
+        self.body = bytearray()
+        self.parser: typing.Any = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = typing.cast(asyncio.Transport, transport)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.is_closed = True
+        if self.has_answer_bytes:
+            self._fail(errors.ErrorKind.ANSWER_CUT)
+        else:
+            self._fail(errors.ErrorKind.UPSTREAM_LOST)
+
+    def data_received(self, data: bytes) -> None:
+        if self.waiter is None or self.waiter.done():
+            _STRAY.inc()
+            self.close()
+            return
+        self.has_answer_bytes = True
+        try:
+            self.parser.feed_data(data)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as e:
+            self.close()
+            # The second message of one read raises here after the first
+            # was complete; the first is whole and stands.
+            if not self.waiter.done():
+                self._fail(errors.ErrorKind.ANSWER_CUT, f'Bad answer: {e}.')
+
+    def _fail(self, kind: errors.ErrorKind, detail: str = '') -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_exception(errors.RequestError(kind, detail))
+
+    def close(self) -> None:
+        """Close at once; unsent bytes are dropped."""
+        self.is_closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    def start(
+        self, request: bytes, is_head: bool
+    ) -> asyncio.Future[UpstreamAnswer]:
+        """Send a request and return the future of its answer."""
+        assert self.transport is not None
+        self.parser = httptools.HttpResponseParser(self)
+        self.has_answer_bytes = False
+        self.is_head = is_head
+        self.waiter = asyncio.get_running_loop().create_future()
+        self.transport.write(request)
+        return self.waiter
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self) -> None:
+        if self.waiter is not None and self.waiter.done():
+            # More bytes than one answer: whose they are is not known.
+            _STRAY.inc()
+            self.is_reusable = False
+            return
+        self.status = 0
+        self.answer_headers = []
+        self.body = bytearray()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.answer_headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self.status = self.parser.get_status_code()
+        if self.is_head and self.status >= _FIRST_FINAL_STATUS:
+            # The parser cannot know that no body follows.
+            self.is_reusable = False
+            self._finish()
+
+    def on_body(self, body: bytes) -> None:
+        if self.waiter is None or self.waiter.done():
+            return
+        self.body += body
+        if len(self.body) > self.max_answer_bytes:
+            self._fail(errors.ErrorKind.ANSWER_TOO_LARGE)
+            self.close()
+
+    def on_message_complete(self) -> None:
+        if self.status < _FIRST_FINAL_STATUS:
+            return
+        if not self.parser.should_keep_alive():
+            self.is_reusable = False
+        self._finish()
+
+    def _finish(self) -> None:
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(
+                UpstreamAnswer(
+                    self.status, self.answer_headers, bytes(self.body)
+                )
+            )
+
+
+class UpstreamClient:
+    """Connections to one upstream process."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        max_connections: int,
+        max_answer_bytes: int,
+    ) -> None:
+        self.host = host
+        self.port = port
+        # Most connections open at a time.
+        self.max_connections = max_connections
+        # Longest answer body, bytes.
+        self.max_answer_bytes = max_answer_bytes
+        # Idle connections, the latest used last.
+        self.idle: list[_Connection] = []
+        # Connections with a request on them.
+        self.busy: set[_Connection] = set()
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        header_block: bytes,
+        body: bytes,
+        deadline: float,
+    ) -> UpstreamAnswer:
+        """Send one request and return its whole answer.
+
+        deadline is in seconds of clock.now(). Errors: RequestError of kind
+        UPSTREAM_UNREACHABLE when nothing was sent; UPSTREAM_LOST,
+        ANSWER_CUT, ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT after that. A
+        cancellation closes the connection, which tells the upstream.
+        """
+        connection = await self._take(deadline)
+        request = b'%s %s HTTP/1.1\r\nhost: %s:%d\r\n%s' % (
+            method.encode(),
+            path.encode(),
+            self.host.encode(),
+            self.port,
+            header_block,
+        )
+        request += b'content-length: %d\r\n\r\n' % len(body) + body
+        self.busy.add(connection)
+        is_whole = False
+        try:
+            future = connection.start(request, method == 'HEAD')
+            timer = asyncio.get_running_loop().call_later(
+                max(0.0, deadline - clock.now()),
+                connection._fail,
+                errors.ErrorKind.UPSTREAM_TIMEOUT,
+            )
+            try:
+                answer = await future
+            finally:
+                timer.cancel()
+            is_whole = True
+            return answer
+        finally:
+            self.busy.discard(connection)
+            if is_whole and connection.is_reusable:
+                self._put_back(connection)
+            else:
+                connection.close()
+
+    async def _take(self, deadline: float) -> _Connection:
+        now = clock.now()
+        while self.idle:
+            connection = self.idle.pop()
+            is_fresh = now - connection.idle_since < IDLE_LIMIT_S
+            if is_fresh and not connection.is_closed:
+                return connection
+            connection.close()
+        if len(self.busy) >= self.max_connections:
+            raise errors.RequestError(
+                errors.ErrorKind.OVERLOADED, 'All connections are in use.'
+            )
+        return await self._open(min(_CONNECT_TIMEOUT_S, deadline - now))
+
+    async def _open(self, timeout_s: float) -> _Connection:
+        _OPENED.inc()
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self.max_answer_bytes),
+                    self.host,
+                    self.port,
+                )
+        except (OSError, TimeoutError) as e:
+            raise errors.RequestError(
+                errors.ErrorKind.UPSTREAM_UNREACHABLE,
+                f'No connection to the upstream: {e}.',
+            ) from e
+        return connection
+
+    def _put_back(self, connection: _Connection) -> None:
+        if connection.is_closed:
+            return
+        connection.idle_since = clock.now()
+        connection.waiter = None
+        self.idle.append(connection)
+
+    async def is_refused(self, timeout_s: float) -> bool:
+        """Return whether connections are refused: no process listens.
+
+        A timeout does not count, since a full accept queue of a busy
+        process looks the same.
+        """
+        try:
+            connection = await self._open(timeout_s)
+        except errors.RequestError as e:
+            return isinstance(e.__cause__, ConnectionRefusedError)
+        connection.close()
+        return False
+
+    def close(self) -> None:
+        """Close the idle connections; running requests go on."""
+        for connection in self.idle:
+            connection.close()
+        self.idle.clear()
+
+
+def find_header(pairs: list[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    """Return the first value of a lower-case name, None when absent."""
+    for key, value in pairs:
+        if key == name:
+            return value
+    return None
+
+
+def is_shed(answer: UpstreamAnswer) -> bool:
+    """Return whether the upstream says that it refused without running."""
+    return (
+        answer.status == 503
+        and find_header(answer.headers, headers.OUTCOME) == b'not-run'
+    )
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -152,8 +152,25 @@
     quarantine_lifetime_s: float = 86_400.0
 
 
+@dataclasses.dataclass
+class CtlOptions:
+    """The table [ctl] of godwitstall-ctl."""
+
+    # Name that notes and drains are signed with.
+    operator: str
+    # Longest time for one command, seconds.
+    timeout_s: float = 10.0
+
+
 _Options = typing.TypeVar('_Options')
 
+# Table of a file that each options class is read from.
+_TABLES: dict[type, str] = {
+    NodeOptions: 'node',
+    ControlOptions: 'control',
+    CtlOptions: 'ctl',
+}
+
 _RANGES: dict[str, tuple[float, float]] = {
     'lease_s': (0.1, 6.0),
     'heartbeat_s': (0.05, 5.0),
@@ -182,6 +199,7 @@
     'grant_lifetime_ms': (50, 60_000),
     'crash_threshold': (1, 100),
     'quarantine_lifetime_s': (1, 31 * 86_400),
+    'timeout_s': (0.1, 600),
 }
 
 
@@ -193,7 +211,7 @@
     Errors: SettingsError with one line for each problem found.
     """
     tables = _read(path)
-    own = 'node' if kind is NodeOptions else 'control'
+    own = _TABLES[kind]
     problems = [
         f'{path}: {name}: unknown table'
         for name in tables
