--- /dev/null
+++ b/tests/configuration/test_configuration.py
@@ -0,0 +1,267 @@
+"""Release notes and the rules of their numbers, against a plain model."""
+
+import typing
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from godwitstall.configuration import note as notes
+from godwitstall.configuration import state
+from godwitstall import messages
+
+_V = messages.NoteVerdict
+_D1, _D2 = 'a' * 64, 'b' * 64
+
+_BASE = f"""number = 1
+[[added.workspaces]]
+name = "w1"
+rate = 10
+burst = 20
+[[added.keys]]
+id = "k1"
+workspace = "w1"
+digest = "{_D1}"
+[[added.routes]]
+name = "r1"
+path_prefix = "/pay"
+service = "s"
+priority = "payment"
+[[added.upstreams]]
+name = "n1"
+service = "s"
+"""
+
+_WORKSPACE = '[[added.workspaces]]\nname = "w2"\n'
+_ROUTE = '[[added.routes]]\nname = "r2"\npath_prefix = "/r2"\n'
+_KEY = '[[added.keys]]\nid = "k2"\n'
+
+# Text after 'number = 2' and the start of the only problem.
+_PROBLEMS = [
+    ('a = 1', 'a: unknown key'),
+    ('"a\\nb" = 1', r"'a\nb': unknown key"),
+    ('added = 1', 'added: must be a table'),
+    ('[added]\nnodes = []', 'added.nodes: unknown key'),
+    ('[added]\nkeys = 1', 'added.keys: must be an array'),
+    ('[added]\nkeys = [1]', 'added.keys[0]: must be a table'),
+    ('', 'note: changes nothing'),
+    ('x = y', 'note: is no TOML: '),
+    ('[withdrawn]\nkeys = [1]', 'withdrawn.keys[0]: must be 1 to 256'),
+    ('[withdrawn]\nkeys = ["k9"]', "withdrawn.keys[0]: 'k9' is not there"),
+    ('[withdrawn]\nkeys = ["k1", "k1"]', "withdrawn.keys[1]: 'k1' stands alr"),
+    (
+        '[withdrawn]\nworkspaces = ["w1"]',
+        "withdrawn.workspaces[0]: workspace 'w1' still has key 'k1'",
+    ),
+    (_WORKSPACE + 'rate = 0\nburst = 1', 'added.workspaces[0].rate: must be'),
+    (_WORKSPACE + 'rate = nan\nburst = 1', 'added.workspaces[0].rate: must'),
+    (_WORKSPACE + 'rate = "1"\nburst = 1', 'added.workspaces[0].rate: must'),
+    (_WORKSPACE + 'rate = 1\nburst = 0', 'added.workspaces[0].burst: must be'),
+    (_WORKSPACE + 'rate = 1\nburst = true', 'added.workspaces[0].burst: must'),
+    (_WORKSPACE + 'rate = 1', 'added.workspaces[0].burst: is missing'),
+    (_WORKSPACE.replace('2', '1') + 'rate=1\nburst=1', 'added.workspaces[0]:'),
+    (
+        _KEY + f'workspace = "w"\ndigest = "{_D2}"',
+        'added.keys[0].workspace: u',
+    ),
+    (
+        _KEY + 'workspace = "w1"\ndigest = "zz"',
+        'added.keys[0].digest: must be',
+    ),
+    (
+        _KEY + f'workspace="w1"\ndigest="{_D1}"',
+        'added.keys[0].digest: is that',
+    ),
+    (_ROUTE + 'service = ""', 'added.routes[0].service: leads to no service'),
+    (_ROUTE, 'added.routes[0].service: is missing'),
+    (_ROUTE + 'service="s"\npriority="top"', 'added.routes[0].priority: must'),
+    (_ROUTE + 'service="s"\nmethods=["get"]', 'added.routes[0].methods: must'),
+    (
+        _ROUTE + 'service="s"\nattempts=1\ndispatch_attempts=2',
+        'added.routes[0].attempts: must be at least dispatch_attempts (2)',
+    ),
+    (
+        _ROUTE.replace('/r2', '/pay') + 'service="s"',
+        "added.routes[0]: has the path_prefix and method of route 'r1'",
+    ),
+    ('[[changed.routes]]\nname = "r1"', 'changed.routes[0]: changes nothing'),
+    ('[[changed.routes]]\nopen = true', 'changed.routes[0].name: is missing'),
+    (
+        '[[changed.workspaces]]\nname = "w9"\nburst = 2',
+        "changed.workspaces[0]: 'w9' is not there",
+    ),
+    ('x = ' + '[' * 5000, 'note: is nested too deeply'),
+]
+
+
+def _command(text: str, number: int, operator: str = 'ann') -> typing.Any:
+    return messages.ApplyNote(
+        number=number,
+        digest=notes.digest_of(text),
+        operator=operator,
+        changes=text.encode(),
+    )
+
+
+def _based() -> state.ConfigurationState:
+    based = state.ConfigurationState()
+    assert based.apply(_command(_BASE, 1), 5, 100).verdict is _V.ACCEPTED
+    return based
+
+
+@pytest.mark.parametrize('text,problem', _PROBLEMS)
+def test_problem(text: str, problem: str) -> None:
+    """Guards against a wrong note in force, or a cause that is not told."""
+    based = _based()
+    before = based.to_snapshot()
+    result = based.apply(_command(f'number = 2\n{text}', 2), 6, 200)
+    assert result.verdict is _V.INVALID
+    (line,) = result.detail.split('\n')
+    assert line.startswith(problem)
+    assert based.to_snapshot() == before
+
+
+@pytest.mark.parametrize('line', ['', 'number = "2"\n', 'number = 3\n'])
+def test_number_and_all_problems(line: str) -> None:
+    """Guards against a note that names no or another number than sent."""
+    text = line + '[withdrawn]\nkeys = ["x", 1]\n'
+    result = _based().apply(_command(text, 2), 6, 200)
+    lines = result.detail.split('\n')
+    assert result.verdict is _V.INVALID and len(lines) == 3
+    assert sum(item.startswith('number: ') for item in lines) == 1
+
+
+# Operator, number, text; verdict and operator of the result.
+_RACE = [
+    ('ann', 2, '[withdrawn]\nkeys=["k1"]', _V.ACCEPTED, 'ann'),
+    ('bob', 2, '[withdrawn]\nroutes=["r1"]', _V.NUMBER_TAKEN, 'ann'),
+    ('ann', 2, '[withdrawn]\r\nkeys=["k1"]\r\n', _V.ALREADY_IN_FORCE, 'ann'),
+    ('bob', 4, '[withdrawn]\nroutes=["r1"]', _V.NUMBER_GAP, ''),
+    ('bob', 3, '[withdrawn]\nroutes=["r1"]', _V.ACCEPTED, 'bob'),
+    ('ann', 2, '[withdrawn]\nkeys=["k1"]', _V.ALREADY_IN_FORCE, 'ann'),
+    ('ann', 0, '[withdrawn]\nkeys=["k1"]', _V.INVALID, ''),
+]
+
+
+def test_race_resend_and_gap() -> None:
+    """Guards against two operators who both believe they were first."""
+    based = _based()
+    for operator, number, text, verdict, by in _RACE:
+        command = _command(f'number = {number}\n{text}', number, operator)
+        result = based.apply(command, 6, 200)
+        assert (result.verdict, result.operator) == (verdict, by)
+    assert not based.configuration.keys and not based.configuration.routes
+
+
+def test_other_digest_and_old_number(monkeypatch: typing.Any) -> None:
+    """Guards against a cut note, and against endless memory of digests."""
+    monkeypatch.setattr(state, 'KEPT_NOTES', 1)
+    based = _based()
+    cut = _command('number = 2\n[withdrawn]\nkeys=["k1"]', 2)
+    cut.changes = cut.changes[:-9]
+    assert based.apply(cut, 6, 1).verdict is _V.INVALID
+    cut.changes = b'\xff'
+    assert based.apply(cut, 6, 1).verdict is _V.INVALID
+    again = _command('number = 2\n[withdrawn]\nkeys=["k1"]', 2)
+    assert based.apply(again, 6, 1).verdict is _V.ACCEPTED
+    assert based.apply(_command(_BASE, 1), 6, 1).verdict is _V.NUMBER_TAKEN
+
+
+def test_defaults_and_withdrawn_upstream() -> None:
+    """Guards against an upstream that gets work again once withdrawn."""
+    based = _based()
+    (route,) = based.configuration.routes
+    assert (route.attempts, route.dispatch_attempts) == (2, 1)
+    assert route.timeout_ms == 10_000 and not route.is_idempotent
+    text = 'number = 2\n[withdrawn]\nupstreams = ["n1"]'
+    assert based.apply(_command(text, 2), 6, 1).verdict is _V.ACCEPTED
+    assert based.configuration.upstreams[0].is_withdrawn
+
+
+_NAMES = st.sampled_from(['a', 'b', 'c'])
+_ITEM = st.tuples(
+    st.sampled_from(['added', 'changed', 'withdrawn']),
+    st.sampled_from(['workspaces', 'keys']),
+    _NAMES,
+    _NAMES,
+    st.integers(0, 3),
+)
+
+
+class _NotesAgainstModel(stateful.RuleBasedStateMachine):
+    """Random notes; the model keeps plain dictionaries and all notes."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.state = state.ConfigurationState()
+        self.texts: list[str] = []
+        self.workspaces: dict[str, int] = {}
+        self.keys: dict[str, tuple[str, int]] = {}
+
+    @stateful.rule(items=st.lists(_ITEM, min_size=1, max_size=3))
+    def apply_next(self, items: list[typing.Any]) -> None:
+        number = len(self.texts) + 1
+        text = f'number = {number}\n'
+        withdrawn: dict[str, list[str]] = {'workspaces': [], 'keys': []}
+        workspaces, keys = dict(self.workspaces), dict(self.keys)
+        named = [(kind, name) for _, kind, name, _, _ in items]
+        is_valid = len(set(named)) == len(named)
+        for table, kind, name, other, value in items:
+            there: dict[str, typing.Any] = (
+                workspaces if kind == 'workspaces' else keys
+            )
+            is_valid &= (name in there) == (table != 'added')
+            if table == 'withdrawn':
+                withdrawn[kind].append(name)
+                there.pop(name, None)
+                continue
+            text += f'[[{table}.{kind}]]\n'
+            if kind == 'workspaces':
+                text += f'name = "{name}"\nrate = 1\nburst = {value}\n'
+                workspaces[name] = value
+                is_valid &= value > 0
+            else:
+                digest = str(value) * 64
+                text += f'id = "{name}"\nworkspace = "{other}"\n'
+                text += f'digest = "{digest}"\n'
+                keys[name] = (other, value)
+        text += '[withdrawn]\n'
+        text += ''.join(f'{kind} = {n!r}\n' for kind, n in withdrawn.items())
+        is_valid &= all(owner in workspaces for owner, _ in keys.values())
+        is_valid &= len({digest for _, digest in keys.values()}) == len(keys)
+        result = self.state.apply(_command(text, number), 1, number)
+        assert (result.verdict is _V.ACCEPTED) == is_valid, result.detail
+        assert result.verdict in (_V.ACCEPTED, _V.INVALID)
+        if is_valid:
+            self.texts.append(text)
+            self.workspaces, self.keys = workspaces, keys
+
+    @stateful.rule(number=st.integers(0, 50), is_other=st.booleans())
+    def resend(self, number: int, is_other: bool) -> None:
+        if not 0 < number <= len(self.texts):
+            return
+        text = self.texts[number - 1] + ('# other' if is_other else '\n')
+        result = self.state.apply(_command(text, number, 'bob'), 2, 99)
+        expected = _V.NUMBER_TAKEN if is_other else _V.ALREADY_IN_FORCE
+        assert (result.verdict, result.operator) == (expected, 'ann')
+        assert result.time_ms == number
+
+    @stateful.rule()
+    def move_to_other_replica(self) -> None:
+        data = messages.encode(self.state.to_snapshot())
+        snapshot = typing.cast(
+            messages.ConfigurationSnapshot, messages.decode(data)
+        )
+        self.state = state.ConfigurationState()
+        self.state.restore(snapshot)
+
+    @stateful.invariant()
+    def same_configuration(self) -> None:
+        found = self.state.configuration
+        assert {w.name: w.burst for w in found.workspaces} == self.workspaces
+        assert {
+            k.key_id: (k.workspace, int(k.digest[0])) for k in found.keys
+        } == self.keys
+
+
+TestNotesAgainstModel = _NotesAgainstModel.TestCase
