--- a/tests/base/test_messages.py
+++ b/tests/base/test_messages.py
@@ -20,6 +20,12 @@
     ),
 ]
 
+# An Expire whose list claims 2^29 empty structs.
+_HUGE_LIST = bytes.fromhex(
+    '000000000500000000000000010001001f001400000000000000000000000100'
+    '010000008000ff000000000002000100'
+)
+
 _GARBAGE = [
     b'',
     b'x',
@@ -28,6 +34,7 @@
     b'\x90',
     b'\x92\x07\x01',
     b'\x9f' + b'\x01' * 20,
+    _HUGE_LIST,
 ]
 
 
