--- a/loadtool/runner.py
+++ b/loadtool/runner.py
@@ -60,11 +60,13 @@
             f'{kind}/{outcome or "none"}',
             retry_after_s=_retry_after_s(headers),
         )
-    if answer.status == 503 and outcome == 'not-run':
+    if outcome == 'not-run':
+        # An upstream's own refusal names no kind.
+        word = 'shed' if answer.status == 503 else f'status_{answer.status}'
         return _Result(
             False,
             True,
-            'shed/not-run',
+            f'{word}/not-run',
             retry_after_s=_retry_after_s(headers),
         )
     if is_digest_checked:
--- a/loadtool/tables.py
+++ b/loadtool/tables.py
@@ -35,19 +35,21 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         raise errors.SettingsError([f'{path}: is no TOML: {e}']) from e
     if name is None:
-        return fill(kind, content, str(path))
+        return fill(kind, content, f'{path}: ')
     unknown = [f'{path}: {key}: unknown key' for key in content if key != name]
     if unknown or not isinstance(content.get(name), dict):
         raise errors.SettingsError(
             unknown or [f'{path}: {name}: must be a table']
         )
-    return fill(kind, content[name], f'{path}: {name}')
+    return fill(kind, content[name], f'{path}: {name}.')
 
 
 def fill(
     kind: type[_Options], table: dict[str, typing.Any], where: str
 ) -> _Options:
-    """Return options filled from a table; where names it in problems.
+    """Return options filled from a table.
+
+    where is put before each key in problems, for example 'a.toml: node.'.
 
     Errors: SettingsError with one line for each problem found.
     """
@@ -68,7 +70,7 @@
         name: value.value if isinstance(value, enum.Enum) else value
         for name, value in shown.items()
     }
-    return fill(type(options), shown | table, 'change')
+    return fill(type(options), shown | table, '')
 
 
 def to_json(options: typing.Any) -> str:
@@ -87,7 +89,7 @@
     problems: list[str],
 ) -> typing.Any:
     if not isinstance(table, dict):
-        problems.append(f'{where}: must be a table')
+        problems.append(f'{where.rstrip(".: ")}: must be a table')
         return None
     hints = typing.get_type_hints(kind)
     fields = {field.name: field for field in dataclasses.fields(kind)}
@@ -95,16 +97,16 @@
     count = len(problems)
     for key, value in table.items():
         if key not in fields:
-            problems.append(f'{where}.{key}: unknown key')
+            problems.append(f'{where}{key}: unknown key')
             continue
-        values[key] = _convert(hints[key], value, f'{where}.{key}', problems)
+        values[key] = _convert(hints[key], value, f'{where}{key}', problems)
     for key, field in fields.items():
         is_required = (
             field.default is dataclasses.MISSING
             and field.default_factory is dataclasses.MISSING
         )
         if is_required and key not in table:
-            problems.append(f'{where}.{key}: is missing')
+            problems.append(f'{where}{key}: is missing')
     return None if len(problems) > count else kind(**values)
 
 
@@ -125,7 +127,7 @@
     if dataclasses.is_dataclass(hint):
         if isinstance(value, typing.cast(type, hint)):
             return value
-        return _fill(hint, value, where, problems)
+        return _fill(hint, value, f'{where}.', problems)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         choices = [member.value for member in hint]
         if value in choices:
@@ -135,5 +137,6 @@
     if hint is float and type(value) in (int, float):
         return float(value)
     if type(value) is not hint:
-        problems.append(f'{where}: must be {hint}, not {value!r}')
+        word = getattr(hint, '__name__', str(hint))
+        problems.append(f'{where}: must be {word}, not {value!r}')
     return value
--- a/standin/app.py
+++ b/standin/app.py
@@ -300,6 +300,8 @@
         if ends_at is None:
             ends_at = loop.time() + self.options.onward_deadline_ms / 1000
         for call in self.options.onward:
+            if not request.path.startswith(call.for_prefix):
+                continue
             for place in range(call.count):
                 # The query makes each onward request differ from all others.
                 path = f'{call.path}?from={request.digest[:16]}-{place}'
--- a/standin/options.py
+++ b/standin/options.py
@@ -9,6 +9,8 @@
 
     # Path of the route, without a query.
     path: str
+    # Only runs whose path starts with this make the calls.
+    for_prefix: str = ''
     # Calls a run makes, one after the other.
     count: int = 1
     # HTTP method.
--- a/standin/oracle.py
+++ b/standin/oracle.py
@@ -105,10 +105,15 @@
     def _read(self, runs_file: str) -> None:
         known: dict[tuple[int, int], Run] = {}
         try:
-            with open(runs_file, encoding='utf-8') as lines:
-                events = [json.loads(line) for line in lines]
+            with open(runs_file, 'rb+') as file:
+                content = file.read()
+                # A line without its end was torn, for example by a full
+                # disk; left in place it would swallow the next one.
+                whole = content.rpartition(b'\n')[0]
+                file.truncate(len(whole) + 1 if whole else 0)
         except FileNotFoundError:
             return
+        events = [json.loads(line) for line in whole.splitlines()]
         for event in events:
             key = (event['incarnation'], event['number'])
             if 'start' in event:
--- a/standin/program.py
+++ b/standin/program.py
@@ -142,7 +142,7 @@
     if _ONWARD.value:
         table['onward'] = [_read_onward(text) for text in _ONWARD.value]
     if not _SETTINGS.value:
-        return tables.fill(standin_options.StandinOptions, table, 'flags')
+        return tables.fill(standin_options.StandinOptions, table, 'flags: ')
     options = tables.load(
         pathlib.Path(_SETTINGS.value),
         'standin',
