--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 godwitstall standin loadtool bench tests
+	$(BIN)/flake8 godwitstall standin loadtool bench examples tests
 	$(BIN)/mypy
 
 demo: $(STAMP)
--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and release notes of the two current sites."""
