--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -245,8 +245,14 @@
         if is_initial:
             command.append('--initial')
         process = await asyncio.create_subprocess_exec(*command)
-        if await process.wait():
-            raise RuntimeError(f'Formatting {slot} failed.')
+        try:
+            if await process.wait():
+                raise RuntimeError(f'Formatting {slot} failed.')
+        finally:
+            # A cancelled start leaves no process behind.
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
 
     async def spawn(self, name: str) -> None:
         """Start one process; its output goes to a file in the folder."""
