Let the settings of a stand-in give its behaviour from the start

Cause: a stand-in that crashed came back without its crash marker, so a request that crashes each upstream that runs it would have run through once unless a test was quick enough to set the marker again.

The crash test uses it.

Conclusion: restarts keep the given behaviour; changes made through POST /_standin/behaviour still end with the process.

--- a/standin/app.py
+++ b/standin/app.py
@@ -75,7 +75,7 @@
     ) -> None:
         self.options = options
         self.incarnation = incarnation
-        self.behaviour = behaviours.Behaviour()
+        self.behaviour = dataclasses.replace(options.behaviour)
         self.oracle = oracles.Oracle(options.runs_file, options.max_runs)
         self.slots = slot_pools.Slots(options.slots, options.max_queue)
         # Drives service times, error rates and fault shares.
--- a/standin/options.py
+++ b/standin/options.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from standin import behaviour as behaviours
+
 
 @dataclasses.dataclass
 class OnwardCall:
@@ -66,3 +68,8 @@
     runs_file: str = ''
     # Runs kept for GET /_standin/runs; later ones are only counted.
     max_runs: int = 1_000_000
+    # Behaviour at the start; a restarted process has it again at once, which
+    # a request that crashes every upstream needs.
+    behaviour: behaviours.Behaviour = dataclasses.field(
+        default_factory=behaviours.Behaviour
+    )
--- a/standin/program.py
+++ b/standin/program.py
@@ -38,6 +38,9 @@
 _ONWARD = flags.DEFINE_multi_string(
     'onward', [], 'Onward calls, "PATH" or "PATH*COUNT".'
 )
+_BEHAVIOUR = flags.DEFINE_string(
+    'behaviour', None, 'Behaviour at the start, a JSON object.'
+)
 _DEFINE = {
     str: flags.DEFINE_string,
     int: flags.DEFINE_integer,
@@ -141,6 +144,13 @@
     }
     if _ONWARD.value:
         table['onward'] = [_read_onward(text) for text in _ONWARD.value]
+    if _BEHAVIOUR.value:
+        try:
+            table['behaviour'] = json.loads(_BEHAVIOUR.value)
+        except ValueError as e:
+            raise errors.SettingsError(
+                [f'flags: behaviour: is no JSON: {e}']
+            ) from e
     if not _SETTINGS.value:
         return tables.fill(standin_options.StandinOptions, table, 'flags: ')
     options = tables.load(
--- a/tests/standin/test_oracle.py
+++ b/tests/standin/test_oracle.py
@@ -143,6 +143,7 @@
         [
             *(sys.executable, '-m', 'standin'),
             *arguments,
+            '--behaviour={"crash_marker": "boom"}',
             f'--runs_file={journal}',
         ],
         stderr=subprocess.DEVNULL,
@@ -157,12 +158,10 @@
         async with asyncio.timeout(_TIMEOUT_S):
             while True:
                 try:
-                    await send('/_standin/behaviour', b'{}')
+                    await send('/a', b'fine')
                     break
                 except http_client.CallError:
                     await asyncio.sleep(0.02)
-        await send('/_standin/behaviour', b'{"crash_marker": "boom"}')
-        await send('/a', b'fine')
         with pytest.raises(http_client.CallError) as caught:
             await send('/a', b'a boom here')
         assert caught.value.reason == 'closed'
