Check a release note against the configuration in force

Cause: `godwitstall-ctl note check` looked at the text of the note only. A name that was taken or a wrong number showed up first at the application.

Ruled out: sending the note as a trial command through the log. It would cost a sync on a majority and leave a record in the log of something that never happened.

Change: QueryKind.NOTE_CHECK = 6. Machine.query builds the configuration after the note, returns all problems with the number included, and keeps nothing. A note that is in force already is said to be so, as the application does.

Conclusion: a check tells what an application at that moment would tell.

--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -10,6 +10,7 @@
 import logging
 import typing
 
+from godwitstall.configuration import note as notes
 from godwitstall.configuration import state
 from godwitstall import errors
 from godwitstall.members import registry
@@ -286,6 +287,30 @@
                         if text in ('', str(note.number))
                     ]
                 }
+            case messages.QueryKind.NOTE_CHECK:
+                return self._check_note(text)
+
+    def _check_note(self, text: str) -> dict[str, typing.Any]:
+        """Return all that is wrong with a note; changes nothing."""
+        current = self.configuration.configuration
+        note = notes.parse(text)
+        known = self.configuration.notes.get(note.number)
+        is_in_force = known is not None and known.digest == notes.digest_of(
+            text
+        )
+        problems: list[str] = []
+        if not is_in_force:
+            _, problems = notes.build(note, current)
+            if note.number and note.number != current.number + 1:
+                problems.append(
+                    f'number: the next number is {current.number + 1}, not '
+                    f'{note.number}'
+                )
+        return {
+            'number': current.number,
+            'is_in_force': is_in_force,
+            'problems': problems,
+        }
 
     def _configuration_view(self) -> dict[str, typing.Any]:
         configuration = self.configuration.configuration
--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -93,18 +93,34 @@
         raise CommandError(f'{path}: cannot be read: {e}') from e
 
 
+def _problems(path: str, problems: list[str]) -> Result:
+    """Return the result for a note that cannot be applied."""
+    return Result(
+        '\n'.join(f'{path}: {problem}' for problem in problems),
+        data={'problems': problems},
+        is_success=False,
+    )
+
+
 async def check_note(client: client_module.ControlClient, path: str) -> Result:
-    """Check a note without applying it.
+    """Check a note against the configuration in force; changes nothing.
 
-    Its own text is checked here; whether it fits the configuration in force
-    is decided by control when it is applied.
+    A note that is wrong in itself is told without asking control. Another
+    note may come first, so a check is no promise.
     """
-    del client
-    parsed = notes.parse(_read(path))
+    text = _read(path)
+    parsed = notes.parse(text)
     if parsed.problems:
-        lines = [f'{path}: {problem}' for problem in parsed.problems]
-        return Result('\n'.join(lines), is_success=False)
-    return Result(f'{path}: note {parsed.number} is well formed.')
+        return _problems(path, parsed.problems)
+    found = await client.query(messages.QueryKind.NOTE_CHECK, text)
+    if found['problems']:
+        return _problems(path, found['problems'])
+    if found['is_in_force']:
+        return Result(f'{path}: note {parsed.number} is in force already.')
+    return Result(
+        f'{path}: note {parsed.number} can be applied; note '
+        f'{found["number"]} is in force now.'
+    )
 
 
 async def apply_note(client: client_module.ControlClient, path: str) -> Result:
@@ -112,8 +128,7 @@
     text = _read(path)
     parsed = notes.parse(text)
     if parsed.problems:
-        lines = [f'{path}: {problem}' for problem in parsed.problems]
-        return Result('\n'.join(lines), is_success=False)
+        return _problems(path, parsed.problems)
     result = await client.propose(
         messages.ApplyNote(
             parsed.number,
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -93,6 +93,8 @@
     OPERATION = 3
     QUARANTINE = 4
     NOTES = 5
+    # The text is a release note; all that is wrong with it now.
+    NOTE_CHECK = 6
 
 
 @dataclasses.dataclass(slots=True)
