Give every wrong command line one clear line

Cause, found by running the console scripts: - `--help` of an installed script listed no flag and no command and ended with code 1, because absl takes the text from the docstring of __main__. - Wrong usage ended with code 1 and two lines or a page of text. - `operation ID` answered "NO RECORD ... was not run" for text that is no UUIDv7 and for a valid id in another spelling (without dashes). The same text also held for idempotent routes, which keep no record, and for ids whose record has expired. - `quarantine lift ''` matched every fingerprint and lifted the only one. - `drain` of a misspelt node said nothing of it. - `state` with no address or with a page that is no JSON gave a traceback.

Ruled out: app.run() with a parser of its own. The flags would still be those of the whole process, so two programs could not be imported together.

The commands check ids, fingerprints and addresses, and show what control adds to a drain.

--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -10,10 +10,10 @@
 import signal
 import sys
 
-from absl import app
 from absl import flags
 
 from godwitstall import admin
+from godwitstall import command_line
 from godwitstall.consensus import replica as replica_module
 from godwitstall.consensus import storage
 from godwitstall.control import machine as machine_module
@@ -26,11 +26,23 @@
 
 _LOG = logs.get('control')
 
-_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file, TOML.')
-_FORMAT = flags.DEFINE_bool('format', False, 'Format the data folder and end.')
-_INITIAL = flags.DEFINE_bool(
-    'initial', False, 'With --format: this disk belongs to a new fleet.'
-)
+_PROGRAM = 'godwitstall-control'
+_USAGE = """Usage: godwitstall-control --settings FILE [--format [--initial]]
+
+Runs one replica of the control state until SIGTERM or SIGINT. Its data folder
+is formatted once, before the first start.
+
+  --settings FILE  Settings file with the tables [fleet] and [control], TOML.
+  --format         Format the data folder, which must be empty, and end.
+  --initial        With --format: the disk belongs to a new fleet. Never give
+                   it when a disk of a running fleet is replaced.
+
+Exit codes: 0 done, 1 failed, 2 wrong settings or usage."""
+
+_FLAGS = command_line.new_flags()
+_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file.', _FLAGS)
+_FORMAT = flags.DEFINE_bool('format', False, 'Format and end.', _FLAGS)
+_INITIAL = flags.DEFINE_bool('initial', False, 'A new fleet.', _FLAGS)
 
 _ADMIN_STOP_S = 1.0
 
@@ -67,19 +79,16 @@
     _LOG.info('Replica %s stopped.', options.slot)
 
 
-def _run(argv: list[str]) -> None:
-    if _SETTINGS.value is None or len(argv) > 1:
-        raise app.UsageError(
-            'Give --settings FILE, and --format to format the data folder.'
-        )
-    try:
-        fleet, options, log_options = settings.load(
-            pathlib.Path(_SETTINGS.value), settings.ControlOptions
-        )
-    except errors.SettingsError as e:
-        for problem in e.problems:
-            print(problem, file=sys.stderr)
-        sys.exit(2)
+def main() -> None:
+    """Entry point of the console script."""
+    words = command_line.parse(_PROGRAM, _USAGE, _FLAGS, sys.argv)
+    if words:
+        command_line.fail(_PROGRAM, f'unexpected argument {words[0]!r}')
+    if _INITIAL.value and not _FORMAT.value:
+        command_line.fail(_PROGRAM, '--initial needs --format')
+    fleet, options, log_options = command_line.load_settings(
+        _PROGRAM, _SETTINGS.value, settings.ControlOptions
+    )
     logs.setup(log_options.level, log_options.parts)
     try:
         if _FORMAT.value:
@@ -92,14 +101,9 @@
             return
         asyncio.run(run(options, fleet))
     except (errors.StorageError, OSError) as e:
-        print(f'godwitstall-control: {e}', file=sys.stderr)
+        print(f'{_PROGRAM}: {e}', file=sys.stderr)
         sys.exit(1)
 
 
-def main() -> None:
-    """Entry point of the console script."""
-    app.run(_run)
-
-
 if __name__ == '__main__':
     main()
--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -6,8 +6,10 @@
 import hashlib
 import json
 import pathlib
+import re
 import secrets
 import typing
+import uuid
 
 import httpx
 
@@ -15,9 +17,13 @@
 from godwitstall.ctl import client as client_module
 from godwitstall import errors
 from godwitstall import messages
+from godwitstall import settings
 
 _KEY_BYTES = 32
 _HTTP_TIMEOUT_S = 5.0
+_UUID_V7 = 7
+# The first 48 of its 128 bits are the time in milliseconds.
+_UUID_V7_TIME_SHIFT = 80
 _Row = dict[str, typing.Any]
 
 
@@ -80,9 +86,13 @@
     """Return a wall clock time for people, in UTC."""
     if not milliseconds:
         return '-'
-    moment = datetime.datetime.fromtimestamp(
-        milliseconds / 1000, datetime.timezone.utc
-    )
+    try:
+        moment = datetime.datetime.fromtimestamp(
+            milliseconds / 1000, datetime.timezone.utc
+        )
+    except (ValueError, OverflowError, OSError):
+        # An id made by a wrong clock may name a year above 9999.
+        return f'{milliseconds} ms after 1970'
     return moment.isoformat(sep=' ', timespec='milliseconds')
 
 
@@ -296,7 +306,10 @@
         raise CommandError('Control gave an unexpected reply.')
     word = 'gets no new work' if is_drained else 'gets work again'
     if result.is_accepted:
-        return Result(f'The upstream of {node} {word}.')
+        # The detail tells that the node is no member, for example because
+        # its name was misspelt.
+        text = f'The upstream of {node} {word}. {result.detail}'
+        return Result(text.rstrip())
     return Result(result.detail, is_success=False)
 
 
@@ -329,13 +342,23 @@
     client: client_module.ControlClient, operation_id: str
 ) -> Result:
     """Tell whether an operation was run."""
-    found = await client.query(messages.QueryKind.OPERATION, operation_id)
+    try:
+        parsed = uuid.UUID(operation_id)
+    except ValueError:
+        parsed = None
+    if parsed is None or parsed.version != _UUID_V7:
+        raise CommandError(f'{operation_id!r} is no UUIDv7.')
+    # Records are kept under the usual text form, as nodes write it.
+    found = await client.query(messages.QueryKind.OPERATION, str(parsed))
     records = found['operations']
     if not records:
+        made = _time(parsed.int >> _UUID_V7_TIME_SHIFT)
         return Result(
-            f'NO RECORD of operation {operation_id}: since its record would '
-            f'have been kept, no node has claimed it, so it was not run under '
-            f'this id in that time.',
+            f'NO RECORD of operation {parsed}, whose id was made at {made}. '
+            f'A record is kept for operation_lifetime_s of control after '
+            f'that, 24 h by default. Within that time it means NOT RUN on '
+            f'any route that is not idempotent; after it, nothing is known. '
+            f'Idempotent routes keep no record.',
             data=found,
         )
     parts = []
@@ -384,6 +407,11 @@
     client: client_module.ControlClient, fingerprint: str
 ) -> Result:
     """Let a quarantined request run again."""
+    if not re.fullmatch('[0-9a-fA-F]{8,64}', fingerprint):
+        raise CommandError(
+            f'{fingerprint!r} is not the start of a fingerprint: at least 8 '
+            f'hex digits.'
+        )
     found = await client.query(messages.QueryKind.QUARANTINE, fingerprint)
     matches = found['quarantines']
     if len(matches) != 1:
@@ -421,11 +449,16 @@
 ) -> Result:
     """Dump the state of a process."""
     del client
+    try:
+        settings.check_address(address)
+    except ValueError as e:
+        raise CommandError(f'ADDRESS {e}') from e
     try:
         async with httpx.AsyncClient(timeout=_HTTP_TIMEOUT_S) as session:
             answer = await session.get(f'http://{address}/state')
             answer.raise_for_status()
-    except httpx.HTTPError as e:
-        raise CommandError(f'No state from {address}: {e}') from e
-    state = answer.json()
+            state = answer.json()
+    except (httpx.HTTPError, ValueError) as e:
+        cause = ' '.join(str(e).split()) or type(e).__name__
+        raise CommandError(f'No state from {address}: {cause}') from e
     return Result(json.dumps(state, indent=2), data=state)
--- a/godwitstall/ctl/program.py
+++ b/godwitstall/ctl/program.py
@@ -6,25 +6,25 @@
 
 import asyncio
 import dataclasses
-import pathlib
 import sys
 
-from absl import app
 from absl import flags
 
+from godwitstall import command_line
 from godwitstall.ctl import client as client_module
 from godwitstall.ctl import commands
 from godwitstall import errors
 from godwitstall import settings
 
-_SETTINGS = flags.DEFINE_string(
-    'settings', None, 'Settings file with the tables [fleet] and [ctl].'
-)
-_JSON = flags.DEFINE_bool('json', False, 'Print JSON instead of a table.')
+_PROGRAM = 'godwitstall-ctl'
+
+_FLAGS = command_line.new_flags()
+_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file.', _FLAGS)
+_JSON = flags.DEFINE_bool('json', False, 'Print JSON.', _FLAGS)
 
 
 @dataclasses.dataclass(frozen=True)
-class _Command:
+class Command:
     """One command of the table below."""
 
     # Words that call it.
@@ -36,78 +36,83 @@
     # The function that does it.
     run: commands.Run
 
+    @property
+    def synopsis(self) -> str:
+        """Words and arguments, for example 'note apply FILE'."""
+        return ' '.join((*self.words, *self.arguments))
+
 
 COMMANDS = [
-    _Command(
+    Command(
         ('note', 'check'),
         ('FILE',),
         'Check a release note against the configuration in force.',
         commands.check_note,
     ),
-    _Command(
+    Command(
         ('note', 'apply'),
         ('FILE',),
         'Put a release note in force.',
         commands.apply_note,
     ),
-    _Command(
+    Command(
         ('note', 'list'),
         (),
         'List the accepted release notes.',
         commands.list_notes,
     ),
-    _Command(
+    Command(
         ('config', 'show'),
         (),
         'Show the configuration in force.',
         commands.show_configuration,
     ),
-    _Command(
+    Command(
         ('config', 'where'),
         (),
         'Show which processes have the configuration in force.',
         commands.show_where,
     ),
-    _Command(
+    Command(
         ('members',), (), 'List nodes and upstreams.', commands.list_members
     ),
-    _Command(
+    Command(
         ('drain',),
         ('NODE',),
         'Give the upstream of a node no new work.',
         commands.drain,
     ),
-    _Command(
+    Command(
         ('undrain',),
         ('NODE',),
         'Give the upstream of a node work again.',
         commands.undrain,
     ),
-    _Command(
+    Command(
         ('operation',),
         ('ID',),
         'Tell whether an operation was run, with the evidence.',
         commands.show_operation,
     ),
-    _Command(
+    Command(
         ('quarantine', 'list'),
         (),
         'List suspect and quarantined requests.',
         commands.list_quarantine,
     ),
-    _Command(
+    Command(
         ('quarantine', 'lift'),
         ('FINGERPRINT',),
         'Let a quarantined request run again.',
         commands.lift_quarantine,
     ),
-    _Command(
+    Command(
         ('key', 'new'),
         (),
         'Make a key and the digest for a release note.',
         commands.make_key,
     ),
-    _Command(
+    Command(
         ('state',),
         ('ADDRESS',),
         'Dump the state of the process with this admin address.',
@@ -116,53 +121,66 @@
 ]
 
 
-def _usage() -> str:
-    lines = ['Usage: godwitstall-ctl --settings FILE [--json] COMMAND', '']
+def usage() -> str:
+    """Return the text that --help prints."""
+    lines = [f'Usage: {_PROGRAM} --settings FILE [--json] COMMAND', '']
     for command in COMMANDS:
-        words = ' '.join((*command.words, *command.arguments))
-        lines.append(f'  {words:<28} {command.text}')
+        lines.append(f'  {command.synopsis:<28} {command.text}')
+    lines += [
+        '',
+        '  --settings FILE  Settings file with the tables [fleet] and [ctl].',
+        '  --json           Print JSON instead of a table.',
+        '',
+        'Exit codes: 0 done, 1 refused or failed, 2 wrong settings or usage.',
+    ]
     return '\n'.join(lines)
 
 
-def find_command(words: list[str]) -> tuple[_Command, list[str]] | None:
-    """Return the command that words call, and its arguments."""
+def find_command(words: list[str]) -> tuple[Command, list[str]]:
+    """Return the command that words call, and its arguments.
+
+    Errors: ValueError with one line that says what is wrong.
+    """
+    if not words:
+        raise ValueError('give a command')
     for command in COMMANDS:
         count = len(command.words)
+        if tuple(words[:count]) != command.words:
+            continue
         arguments = words[count:]
-        is_called = tuple(words[:count]) == command.words
-        if is_called and len(arguments) == len(command.arguments):
-            return command, arguments
-    return None
-
-
-def _run(argv: list[str]) -> None:
-    found = find_command(argv[1:])
-    if found is None or _SETTINGS.value is None:
-        print(_usage(), file=sys.stderr)
-        sys.exit(2)
-    command, arguments = found
+        if len(arguments) != len(command.arguments):
+            raise ValueError(
+                f'{" ".join(command.words)!r} takes '
+                f'{" ".join(command.arguments) or "no argument"}, not '
+                f'{len(arguments)} arguments'
+            )
+        return command, arguments
+    raise ValueError(f'unknown command {" ".join(words)!r}')
+
+
+def main() -> None:
+    """Entry point of the console script."""
+    words = command_line.parse(_PROGRAM, usage(), _FLAGS, sys.argv)
     try:
-        fleet, options, _ = settings.load(
-            pathlib.Path(_SETTINGS.value), settings.CtlOptions
-        )
-    except errors.SettingsError as e:
-        for problem in e.problems:
-            print(problem, file=sys.stderr)
-        sys.exit(2)
+        command, arguments = find_command(words)
+    except ValueError as e:
+        command_line.fail(_PROGRAM, str(e))
+    fleet, options, _ = command_line.load_settings(
+        _PROGRAM, _SETTINGS.value, settings.CtlOptions
+    )
     client = client_module.ControlClient(options, fleet)
     try:
         result = asyncio.run(command.run(client, *arguments))
     except (errors.GodwitstallError, commands.CommandError) as e:
-        print(f'godwitstall-ctl: {e}', file=sys.stderr)
+        print(f'{_PROGRAM}: {e}', file=sys.stderr)
+        sys.exit(1)
+    except KeyboardInterrupt:
+        # A command that was sent may take effect all the same.
+        print(f'{_PROGRAM}: interrupted', file=sys.stderr)
         sys.exit(1)
     print(result.to_json() if _JSON.value else result.to_text())
     sys.exit(0 if result.is_success else 1)
 
 
-def main() -> None:
-    """Entry point of the console script."""
-    app.run(_run)
-
-
 if __name__ == '__main__':
     main()
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -6,18 +6,16 @@
 
 import asyncio
 import collections.abc
-import pathlib
 import random
 import signal
 import sys
 import typing
 
-from absl import app
 from absl import flags
 
 from godwitstall import admin
 from godwitstall import clock
-from godwitstall import errors
+from godwitstall import command_line
 from godwitstall import http_server
 from godwitstall import link as link_module
 from godwitstall import logs
@@ -40,7 +38,18 @@
 
 _LOG = logs.get('node')
 
-_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file, TOML.')
+_PROGRAM = 'godwitstall-node'
+_USAGE = """Usage: godwitstall-node --settings FILE
+
+Runs the node beside an upstream until SIGTERM or SIGINT, then stops as
+planned: it leaves the members and finishes the requests that it has.
+
+  --settings FILE  Settings file with the tables [fleet] and [node], TOML.
+
+Exit codes: 0 stopped as planned, 1 failed, 2 wrong settings or usage."""
+
+_FLAGS = command_line.new_flags()
+_SETTINGS = flags.DEFINE_string('settings', None, 'Settings file.', _FLAGS)
 
 # Tokens live this long after their request was sent, seconds; the same as
 # grant_lifetime_ms of control.
@@ -232,29 +241,21 @@
     await node.stop()
 
 
-def _run(argv: list[str]) -> None:
-    if _SETTINGS.value is None or len(argv) > 1:
-        raise app.UsageError('Give --settings FILE and nothing else.')
-    try:
-        fleet, options, log_options = settings.load(
-            pathlib.Path(_SETTINGS.value), settings.NodeOptions
-        )
-    except errors.SettingsError as e:
-        for problem in e.problems:
-            print(problem, file=sys.stderr)
-        sys.exit(2)
+def main() -> None:
+    """Entry point of the console script."""
+    words = command_line.parse(_PROGRAM, _USAGE, _FLAGS, sys.argv)
+    if words:
+        command_line.fail(_PROGRAM, f'unexpected argument {words[0]!r}')
+    fleet, options, log_options = command_line.load_settings(
+        _PROGRAM, _SETTINGS.value, settings.NodeOptions
+    )
     logs.setup(log_options.level, log_options.parts)
     try:
         asyncio.run(run(options, fleet))
     except OSError as e:
-        print(f'godwitstall-node: {e}', file=sys.stderr)
+        print(f'{_PROGRAM}: {e}', file=sys.stderr)
         sys.exit(1)
 
 
-def main() -> None:
-    """Entry point of the console script."""
-    app.run(_run)
-
-
 if __name__ == '__main__':
     main()
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -244,6 +244,8 @@
         ) from e
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
         raise errors.SettingsError([f'{path}: is no TOML: {e}']) from e
+    except RecursionError as e:
+        raise errors.SettingsError([f'{path}: is nested too deeply']) from e
 
 
 def _fill(
