--- a/godwitstall/metrics.py
+++ b/godwitstall/metrics.py
@@ -62,6 +62,16 @@
     return _gauges[name]
 
 
+def all_counters() -> list[Counter]:
+    """Return every counter made so far."""
+    return list(_counters.values())
+
+
+def all_gauges() -> list[Gauge]:
+    """Return every gauge made so far."""
+    return list(_gauges.values())
+
+
 def render() -> bytes:
     """Return all metrics in the Prometheus text format."""
     content, _ = renderer.render(collectors.REGISTRY, ['text/plain'])
--- /dev/null
+++ b/tests/docs/test_pages.py
@@ -0,0 +1,133 @@
+"""Pages: what they say of the code must be true."""
+
+import hashlib
+import pathlib
+import re
+import tomllib
+
+import pytest
+
+from bench import pages
+from godwitstall.configuration import note as notes
+from godwitstall.ctl import program as ctl_program
+from godwitstall import messages
+from godwitstall.node import announcements
+from godwitstall.node import headers
+from godwitstall import settings
+
+_ROOT = pages.PAGE.parent.parent
+_INTERFACE = pages.PAGE.read_text()
+_OPERATIONS = (_ROOT / 'docs' / 'operations.md').read_text()
+
+# Options classes by the table that a sample on the page has.
+_KINDS = {
+    'node': settings.NodeOptions,
+    'control': settings.ControlOptions,
+    'ctl': settings.CtlOptions,
+}
+
+
+def _blocks(text: str, language: str) -> list[str]:
+    """Return the code blocks of a page, without the indent of lists."""
+    found = re.findall(
+        rf'^( *)```{language}\n(.*?)^ *```$', text, re.DOTALL | re.MULTILINE
+    )
+    return [re.sub(f'^{indent}', '', b, flags=re.M) for indent, b in found]
+
+
+def test_tables_follow_the_code() -> None:
+    """Guards against an error, command or metric that the page tells wrong."""
+    assert pages.with_tables(_INTERFACE) == _INTERFACE, (
+        'run python -m bench.pages'
+    )
+
+
+def test_every_header_is_told() -> None:
+    """Guards against a header that the page leaves out."""
+    names = [
+        value.decode()
+        for value in vars(headers).values()
+        if isinstance(value, bytes) and value.startswith(b'godwitstall-')
+    ]
+    page = _INTERFACE.lower()
+    missing = [name for name in names if f'`{name}' not in page]
+    assert [n for n in missing if n != 'godwitstall-'] == []
+
+
+def test_announcement_sample() -> None:
+    """Guards against a sample announcement that a node refuses."""
+    samples = [b for b in _blocks(_INTERFACE, 'json') if '"slots"' in b]
+    assert len(samples) == 1
+    found = announcements.parse(
+        samples[0].encode(), messages.ServiceName('siop')
+    )
+    assert found.state == 'ready'
+
+
+def test_error_sample() -> None:
+    """Guards against a sample error body without the fields of a real one."""
+    samples = [b for b in _blocks(_INTERFACE, 'json') if '"error"' in b]
+    assert len(samples) == 1
+    for name in ('error', 'outcome', 'detail', 'retry_after_ms'):
+        assert f'"{name}"' in samples[0]
+
+
+def test_note_samples() -> None:
+    """Guards against a sample release note that control refuses."""
+    samples = _blocks(_INTERFACE, 'toml') + _blocks(_OPERATIONS, 'toml')
+    samples = [b for b in samples if b.startswith('number')]
+    assert len(samples) == 2
+    current = messages.Configuration()
+    for sample in samples:
+        current, problems = notes.build(notes.parse(sample), current)
+        assert problems == []
+    assert [key.key_id for key in current.keys] == []
+
+
+def test_settings_samples(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against sample settings that a program refuses."""
+    monkeypatch.chdir(tmp_path)
+    pathlib.Path('fleet.secret').write_bytes(hashlib.sha256(b'').digest())
+    samples = [b for b in _blocks(_OPERATIONS, 'toml') if '[fleet]' in b]
+    seen = []
+    for sample in samples:
+        (own,) = set(tomllib.loads(sample)) - {'fleet'}
+        path = tmp_path / f'{own}.toml'
+        path.write_text(sample)
+        settings.load(path, _KINDS[own])
+        seen.append(own)
+    assert sorted(seen) == sorted(_KINDS)
+
+
+def test_commands_on_the_page_exist() -> None:
+    """Guards against advice to run a command that does not exist."""
+    called = re.findall(r'`ctl ([^`]+)`', _OPERATIONS)
+    assert called
+    for line in called:
+        ctl_program.find_command(line.split())
+
+
+@pytest.mark.parametrize(
+    'name',
+    [
+        'README.md',
+        'docs/design.md',
+        'docs/interface.md',
+        'docs/operations.md',
+        'docs/glossary.md',
+    ],
+)
+def test_links_lead_somewhere(name: str) -> None:
+    """Guards against links to pages and sections that do not exist."""
+    page = _ROOT / name
+    text = re.sub('```.*?```', '', page.read_text(), flags=re.DOTALL)
+    for target in re.findall(r'\]\(([^)\s]+)\)', re.sub(r'\s+', ' ', text)):
+        file, _, section = target.partition('#')
+        other = page.parent / file if file else page
+        assert other.is_file(), target
+        if section:
+            titles = re.findall('^#+ (.*)$', other.read_text(), re.MULTILINE)
+            ids = [re.sub('[^a-z0-9 -]', '', t.lower()) for t in titles]
+            assert section in [i.replace(' ', '-') for i in ids], target
