Let an idle node sleep: one HTTP server a process, no polling of the queue

Cause: an idle node used 2.4% of a core, above the 1.3% of the design: three uvicorn servers wake ten times a second each and the owner looked at its queue fifty times a second. Ruled out: the control session (six wakes a second, needed for the lease and tokens). Change: one uvicorn server holds all listeners of a process and chooses the application by address; the queue task sleeps until something waits.

--- a/godwitstall/admin.py
+++ b/godwitstall/admin.py
@@ -10,7 +10,6 @@
 import litestar
 from litestar import response
 
-from godwitstall import http_server
 from godwitstall import metrics
 
 Dump = collections.abc.Callable[[], dict[str, typing.Any]]
@@ -41,10 +40,3 @@
     return litestar.Litestar(
         [serve_metrics, serve_state, serve_health], openapi_config=None
     )
-
-
-def create_server(
-    address: str, dump: Dump, is_healthy: collections.abc.Callable[[], bool]
-) -> http_server.HttpServer:
-    """Return the admin listener, not yet started."""
-    return http_server.HttpServer(create_app(dump, is_healthy), address)
--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -19,6 +19,7 @@
 from godwitstall.control import machine as machine_module
 from godwitstall.control import service as service_module
 from godwitstall import errors
+from godwitstall import http_server
 from godwitstall import link as link_module
 from godwitstall import logs
 from godwitstall import messages
@@ -59,10 +60,12 @@
         options, fleet, identity, machine
     )
     service = service_module.Service(options, identity, machine, replica)
-    listener = admin.create_server(
-        options.admin_address,
-        service.dump,
-        lambda: replica.leader_slot is not None,
+    server = http_server.HttpServer(
+        {
+            options.admin_address: admin.create_app(
+                service.dump, lambda: replica.leader_slot is not None
+            )
+        }
     )
     wanted = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -70,12 +73,12 @@
         loop.add_signal_handler(number, wanted.set)
     await replica.start()
     await service.start(fleet.control[options.slot])
-    await listener.start()
+    await server.start()
     _LOG.info('Replica %s started.', options.slot)
     await wanted.wait()
     _LOG.info('Replica %s is stopping.', options.slot)
     await service.stop()
-    await listener.stop(_ADMIN_STOP_S)
+    await server.stop(_ADMIN_STOP_S)
     _LOG.info('Replica %s stopped.', options.slot)
 
 
--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -4,7 +4,7 @@
 the standard asyncio loop; signals stay with the program.
 
 Example:
-    server = http_server.HttpServer(app, '127.0.0.1:8080')
+    server = http_server.HttpServer({'127.0.0.1:8080': app})
     await server.start()
     await server.stop(timeout_s=30.0)
 """
@@ -12,6 +12,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import socket
 import typing
 
 import uvicorn
@@ -88,24 +89,28 @@
 
 
 class HttpServer:
-    """One listener."""
+    """One server for all HTTP listeners of a process.
+
+    uvicorn wakes up ten times a second for each server, so a process has
+    only one; it gives each request to the application of the address that
+    it came in at.
+    """
 
     def __init__(
         self,
-        app: typing.Any,
-        address: str,
+        apps: dict[str, typing.Any],
         max_header_bytes: int = 32 * 1024,
     ) -> None:
-        host, port = link.split_address(address)
+        # Applications by 'host:port'.
+        self.apps = apps
+        self.sockets: list[socket.socket] = []
         protocol = type(
             'BoundedProtocol',
             (_BoundedProtocol,),
             {'max_header_bytes': max_header_bytes},
         )
         config = uvicorn.Config(
-            app,
-            host=host,
-            port=port,
+            self._dispatch,
             loop='asyncio',
             interface='asgi3',
             proxy_headers=False,
@@ -127,25 +132,21 @@
 
         Errors: OSError when the address cannot be used.
         """
-        self.task = asyncio.create_task(self._serve())
+        for address in self.apps:
+            self.sockets.append(_bind(address))
+        self.task = asyncio.create_task(
+            self.server.serve(sockets=self.sockets)
+        )
         while not self.server.started:
             if self.task.done():
                 self.task.result()
-                raise OSError(
-                    f'Cannot listen on {self.server.config.host}:'
-                    f'{self.server.config.port}.'
-                )
             await asyncio.sleep(0.01)
 
-    async def _serve(self) -> None:
-        try:
-            await self.server.serve()
-        except SystemExit as e:
-            # uvicorn ends the process when the address is taken.
-            raise OSError(
-                f'Cannot listen on {self.server.config.host}:'
-                f'{self.server.config.port}.'
-            ) from e
+    async def _dispatch(
+        self, scope: typing.Any, receive: typing.Any, send: typing.Any
+    ) -> None:
+        host, port = scope['server']
+        await self.apps[f'{host}:{port}'](scope, receive, send)
 
     async def stop(self, timeout_s: float) -> None:
         """Stop listening, let running requests end, close connections."""
@@ -154,3 +155,17 @@
         self.server.config.timeout_graceful_shutdown = int(timeout_s) or 1
         self.server.should_exit = True
         await self.task
+        for listener in self.sockets:
+            listener.close()
+
+
+def _bind(address: str) -> socket.socket:
+    host, port = link.split_address(address)
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listener.bind((host, port))
+    except OSError as e:
+        listener.close()
+        raise OSError(f'Cannot listen on {address}: {e.strerror}.') from e
+    return listener
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -66,6 +66,8 @@
         self.incarnation = 0
         # Set when a call waits for a token.
         self.grant_wanted = asyncio.Event()
+        # When the release note in force arrived, seconds of clock.now().
+        self.number_at = 0.0
         # Slot of the replica in use, for the dump.
         self.slot = ''
 
@@ -126,9 +128,12 @@
         if not isinstance(message, messages.StateUpdate):
             _LOG.warning('Unexpected %s.', type(message).__name__)
             return
+        number = self.view.number
         if not self.view.apply(message):
             _LOG.info('State %d is older than what is held.', message.index)
             return
+        if self.view.number != number:
+            self.number_at = clock.now()
         if not self.incarnation:
             self.incarnation = self._next_incarnation()
 
@@ -257,6 +262,7 @@
             'incarnation': self.incarnation,
             'index': self.view.index,
             'number': self.view.number,
+            'number_at': self.number_at,
             'bytes_sent': self.link.bytes_sent if self.link else 0,
             'bytes_received': self.link.bytes_received if self.link else 0,
         }
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -88,6 +88,8 @@
         self.running = 0
         # Calls inside handle(), queued ones included.
         self.active = 0
+        # Wakes the task that drops waiting work; without work it sleeps.
+        self.has_queued = asyncio.Event()
         # One suspect at a time, so that a crash tells which one it was.
         self.suspect_lock = asyncio.Lock()
 
@@ -172,6 +174,7 @@
             call.workspace, call.priority, deadline, now, future
         )
         shed = self.queue.push(item, now)
+        self.has_queued.set()
         if shed is not None:
             self._refuse_item(shed, errors.ErrorKind.OVERLOADED)
         # A slot may be free although others wait: a stalled upstream frees
@@ -222,9 +225,11 @@
     async def run(self) -> None:
         """Drop work that waited too long until cancelled."""
         while True:
+            await self.has_queued.wait()
             await asyncio.sleep(_EXPIRE_INTERVAL_S)
-            if self.queue:
-                self._start_waiting()
+            self._start_waiting()
+            if not self.queue:
+                self.has_queued.clear()
 
     async def _run_operation(
         self, call: messages.Call, deadline: float
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -113,21 +113,16 @@
             self.relay,
         )
         self.peers = peer_server.PeerServer(identity, self.owner)
-        self.listeners = [
-            http_server.HttpServer(
-                self.entry.caller_app,
-                options.caller_address,
-                options.max_header_bytes,
-            ),
-            http_server.HttpServer(
-                self.entry.upstream_app,
-                options.upstream_address,
-                options.max_header_bytes,
-            ),
-            admin.create_server(
-                options.admin_address, self.dump, self.is_healthy
-            ),
-        ]
+        self.server = http_server.HttpServer(
+            {
+                options.caller_address: self.entry.caller_app,
+                options.upstream_address: self.entry.upstream_app,
+                options.admin_address: admin.create_app(
+                    self.dump, self.is_healthy
+                ),
+            },
+            options.max_header_bytes,
+        )
         self.tasks: list[asyncio.Task[None]] = []
         self.view.on_change.append(self._on_view_change)
 
@@ -152,8 +147,7 @@
     async def start(self) -> None:
         """Start all listeners and tasks."""
         await self.peers.start(self.options.link_address)
-        for listener in self.listeners:
-            await listener.start()
+        await self.server.start()
         for work in (
             self.session.run(),
             self.upstream.run(),
@@ -176,8 +170,7 @@
         end = clock.now() + self.options.stop_timeout_s
         while self._is_busy() and clock.now() < end:
             await asyncio.sleep(_POLL_S)
-        for listener in self.listeners:
-            await listener.stop(max(1.0, end - clock.now()))
+        await self.server.stop(max(1.0, end - clock.now()))
         await self.claimer.drain(_RECORD_WAIT_S)
         await self.peers.stop()
         self.forwarder.close()
--- a/standin/program.py
+++ b/standin/program.py
@@ -62,7 +62,7 @@
         self.options = options
         # The start time rises with each start, also without a disk.
         self.standin = app.Standin(options, incarnation=clock.wall_ms())
-        self.server = http_server.HttpServer(self.standin, options.address)
+        self.server = http_server.HttpServer({options.address: self.standin})
         self.announcer = (
             http_client.Client(options.node_address, max_connections=1)
             if options.node_address
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -12,7 +12,6 @@
 import hashlib
 import json
 import pathlib
-import socket
 import typing
 
 import httptools
@@ -26,6 +25,7 @@
 from godwitstall.node import program
 from godwitstall.rates import ledger as ledger_module
 from godwitstall import settings
+from loadtool import addresses
 from loadtool import http_client
 
 SECRET = b'a secret of the tests'
@@ -36,13 +36,6 @@
 _GRANT_LIFETIME_MS = 1000
 
 
-def free_address(host: str = '127.0.0.1') -> str:
-    """Return a loopback address that nobody uses now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f'{host}:{probe.getsockname()[1]}'
-
-
 async def until(
     is_met: collections.abc.Callable[[], typing.Any], what: str = ''
 ) -> None:
@@ -57,7 +50,7 @@
     """One control process without disk, peers or election."""
 
     def __init__(self, **options: typing.Any) -> None:
-        self.address = free_address()
+        self.address = addresses.free_address()
         self.machine = machine_module.Machine.from_config(
             settings.ControlOptions(
                 slot=messages.SlotId('c1'),
@@ -239,7 +232,7 @@
     """An HTTP server whose answers are scripted; records each run."""
 
     def __init__(self, respond: Respond = echo) -> None:
-        self.address = free_address()
+        self.address = addresses.free_address()
         # Called for each request; writes what the upstream sends.
         self.respond = respond
         # Every request that reached the upstream whole, in order.
@@ -353,10 +346,10 @@
             node_id=messages.NodeId(node_id),
             zone='z1',
             region='r1',
-            link_address=free_address(),
-            caller_address=free_address(),
-            upstream_address=free_address(),
-            admin_address=free_address(),
+            link_address=addresses.free_address(),
+            caller_address=addresses.free_address(),
+            upstream_address=addresses.free_address(),
+            admin_address=addresses.free_address(),
             service=messages.ServiceName(service),
             **(defaults | options),
         )
@@ -435,9 +428,8 @@
         """End node and upstream at once, without a planned stop."""
         self.stop_announcing()
         await self.upstream.stop()
-        for listener in self.node.listeners:
-            listener.server.force_exit = True
-            await listener.stop(0.0)
+        self.node.server.server.force_exit = True
+        await self.node.server.stop(0.0)
         await self.node.peers.stop()
         self.node.forwarder.close()
         for task in self.node.tasks:
