Measure added latency, cost of control and spread of changes

Cause: the design's figures need a measurement that anybody can repeat. Ruled out: a stand-in for each idle node (twice the processes; one task announces for all, with one health listener); ports of the system's range for outgoing connections (one of 250 listeners found its port taken).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -16,7 +16,6 @@
 import os
 import pathlib
 import signal
-import socket
 import sys
 import types
 import typing
@@ -26,13 +25,16 @@
 from godwitstall import clock
 from godwitstall.configuration import note as notes
 from godwitstall import errors
+from godwitstall import http_server
 from godwitstall import link as link_module
 from godwitstall import messages
+from loadtool import addresses
 
 # Longest time for a fleet to get ready, seconds.
 READY_TIMEOUT_S = 30.0
 
 _POLL_S = 0.05
+_ANNOUNCE_S = 1.0
 _STOP_TIMEOUT_S = 20.0
 _ZONES = ('sied-wau', 'sied-nyddu', 'swyddfa')
 
@@ -108,8 +110,18 @@
         node_lines: list[str] | None = None,
         control_lines: list[str] | None = None,
         log_level: str = 'INFO',
+        has_standins: bool = True,
     ) -> None:
         self.folder = folder
+        # Without stand-ins, one task announces an upstream for every node,
+        # so that a large fleet takes half the processes.
+        self.has_standins = has_standins
+        self.announcer: asyncio.Task[None] | None = None
+        # Answers the probes of all nodes then.
+        self.health_address = addresses.free_address()
+        self.health = http_server.HttpServer(
+            {self.health_address: _answer_probe}
+        )
         self.services = services
         self.node_lines = node_lines or []
         self.control_lines = control_lines or []
@@ -119,14 +131,17 @@
         # Command lines by name, to start a process again.
         self.commands: dict[str, list[str]] = {}
         self.control = {
-            f'control-{i + 1}': free_address() for i in range(controls)
+            f'control-{i + 1}': addresses.free_address()
+            for i in range(controls)
+        }
+        self.control_admin = {
+            slot: addresses.free_address() for slot in self.control
         }
-        self.control_admin = {slot: free_address() for slot in self.control}
         self.nodes = [
             Node(
                 f'{spec.name}-{i + 1}',
                 spec.name,
-                *(free_address() for _ in range(5)),
+                *(addresses.free_address() for _ in range(5)),
             )
             for spec in services
             for i in range(spec.count)
@@ -237,7 +252,11 @@
             await self.spawn(slot)
         for node in self.nodes:
             await self.spawn(f'node-{node.node_id}')
-            await self.spawn(f'standin-{node.node_id}')
+            if self.has_standins:
+                await self.spawn(f'standin-{node.node_id}')
+        if not self.has_standins:
+            await self.health.start()
+            self.announcer = asyncio.create_task(self._announce_all())
         await self.wait_members(len(self.nodes))
 
     async def _format(self, slot: str, is_initial: bool) -> None:
@@ -261,8 +280,31 @@
                 *self.commands[name], stdout=log, stderr=log
             )
 
+    async def _announce_all(self) -> None:
+        async with httpx.AsyncClient() as client:
+            while True:
+                await asyncio.gather(
+                    *(self._announce(client, node) for node in self.nodes)
+                )
+                await asyncio.sleep(_ANNOUNCE_S)
+
+    async def _announce(self, client: httpx.AsyncClient, node: Node) -> None:
+        _, port = link_module.split_address(self.health_address)
+        body = {
+            'service': node.service,
+            'incarnation': 1,
+            'port': port,
+            'slots': 64,
+            'connections': 500,
+        }
+        with contextlib.suppress(httpx.HTTPError):
+            await client.post(f'http://{node.upstream}/announce', json=body)
+
     async def stop(self) -> None:
         """Stop every process that this fleet started."""
+        if self.announcer is not None:
+            self.announcer.cancel()
+        await self.health.stop(0.0)
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -404,6 +446,14 @@
         return [node.caller for node in self.nodes]
 
 
+async def _answer_probe(
+    scope: typing.Any, receive: typing.Any, send: typing.Any
+) -> None:
+    del scope, receive
+    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
+    await send({'type': 'http.response.body', 'body': b''})
+
+
 async def _ignore(message: messages.Message) -> None:
     del message
 
@@ -418,20 +468,6 @@
     ]
 
 
-_taken: set[int] = set()
-
-
-def free_address() -> str:
-    """Return a loopback address that nobody uses and nobody else got."""
-    while True:
-        with socket.socket() as probe:
-            probe.bind(('127.0.0.1', 0))
-            port = probe.getsockname()[1]
-        if port not in _taken:
-            _taken.add(port)
-            return f'127.0.0.1:{port}'
-
-
 def note(
     number: int, workspaces: list[Workspace], routes: list[RouteSpec]
 ) -> str:
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -101,6 +101,8 @@
                 )
             ],
             connections=8,
+            # Sleeping would add the time that this machine takes to wake.
+            is_spinning=True,
         )
     )
     row = report.to_json()['total']
--- a/bench/pages.py
+++ b/bench/pages.py
@@ -74,7 +74,7 @@
 def metrics_table() -> str:
     """Return every metric of the programs."""
     rows = [
-        (f'`{found.inner.name}`', kind, found.inner.doc)
+        (f'`{found.collector.name}`', kind, found.collector.doc)
         for kind, metrics_of_kind in (
             ('counter', metrics.all_counters()),
             ('gauge', metrics.all_gauges()),
