Test three mechanisms that no test missed when removed

Cause: with the mechanism removed, all tests still passed for the digest check of a note, for the order of crash records after a second report, and for log time that never goes back. Change: one focused test each; the digest test now damages a note into another valid note.

--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -154,11 +154,11 @@
 
 
 def test_other_digest_and_old_number(monkeypatch: typing.Any) -> None:
-    """Guards against a cut note, and against endless memory of digests."""
+    """Guards against a damaged note, and against endless memory of digests."""
     monkeypatch.setattr(state, 'KEPT_NOTES', 1)
     based = _based()
     cut = _command('number = 2\n[withdrawn]\nkeys=["k1"]', 2)
-    cut.changes = cut.changes[:-9]
+    cut.changes = cut.changes.replace(b'keys', b'routes').replace(b'k1', b'r1')
     assert based.apply(cut, 6, 1).verdict is _V.INVALID
     cut.changes = b'\xff'
     assert based.apply(cut, 6, 1).verdict is _V.INVALID
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -206,6 +206,15 @@
     assert result.detail in ('Bytes are no command.', 'Cancel is no command.')
 
 
+def test_time_never_goes_back() -> None:
+    """Guards against a record dated before the entry it follows."""
+    replica = _new()
+    replica.apply(1, _T0, b'')
+    result = messages.decode(replica.apply(2, 1, messages.encode(_note(1, 1))))
+    assert isinstance(result, messages.NoteResult)
+    assert result.time_ms == _T0
+
+
 def test_short_history(monkeypatch: typing.Any) -> None:
     """Guards against a change that a node misses as the history is cut."""
     monkeypatch.setattr(machine, 'KEPT_CHANGES', 2)
--- a/tests/quarantine/test_reports.py
+++ b/tests/quarantine/test_reports.py
@@ -94,6 +94,16 @@
 TestReportsAgainstModel = _ReportsAgainstModel.TestCase
 
 
+def test_expiry_after_a_second_report() -> None:
+    """Guards against a record that an older, renewed one keeps alive."""
+    kept = reports.CrashReports(3, _LIFETIME)
+    kept.report(_report(_PRINTS[0], 'n', 1), 0)
+    kept.report(_report(_PRINTS[1], 'n', 1), 1)
+    kept.report(_report(_PRINTS[0], 'n', 2), 900)
+    assert kept.expire(1002)
+    assert list(kept.records) == [_PRINTS[0]]
+
+
 def test_bounds(monkeypatch: typing.Any) -> None:
     """Guards against a quarantine that many suspects push out."""
     monkeypatch.setattr(reports, 'MAX_RECORDS', 2)
