--- /dev/null
+++ b/tests/routing/test_routing.py
@@ -0,0 +1,303 @@
+"""Route table, view and picker against plain models."""
+
+import os
+import random
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from godwitstall import messages
+from godwitstall.routing import picker
+from godwitstall.routing import table
+from godwitstall.routing import view
+
+_EXAMPLES = 5000 if 'GODWITSTALL_SOAK' in os.environ else 300
+_SERVICE = messages.ServiceName('siop')
+_SEGMENTS = strategies.sampled_from(['a', 'b', 'aa', 'pay'])
+_PATHS = strategies.lists(_SEGMENTS, max_size=5).map(
+    lambda parts: '/' + '/'.join(parts)
+)
+_METHODS = ['GET', 'POST', 'PUT']
+
+
+def _naive_match(
+    routes: list[messages.Route], method: str, path: str
+) -> messages.Route | None:
+    """Scan all routes by whole segments."""
+    parts = [part for part in path.split('/') if part]
+    best: list[messages.Route] = []
+    depth = -1
+    for route in routes:
+        prefix = [part for part in route.path_prefix.split('/') if part]
+        if parts[: len(prefix)] != prefix or len(prefix) < depth:
+            continue
+        if len(prefix) > depth:
+            depth, best = len(prefix), []
+        best.append(route)
+    for route in best:
+        if method in route.methods:
+            return route
+    return next((route for route in best if not route.methods), None)
+
+
+@hypothesis.settings(max_examples=_EXAMPLES, derandomize=True)
+@hypothesis.given(
+    prefixes=strategies.lists(
+        strategies.tuples(
+            _PATHS,
+            strategies.lists(strategies.sampled_from(_METHODS), unique=True),
+        ),
+        max_size=12,
+    ),
+    paths=strategies.lists(_PATHS, min_size=1, max_size=10),
+    method=strategies.sampled_from(_METHODS),
+    slash=strategies.sampled_from(['', '/']),
+)
+def test_match_against_scan(
+    prefixes: list[tuple[str, list[str]]],
+    paths: list[str],
+    method: str,
+    slash: str,
+) -> None:
+    """Guards against '/a' that matches '/aa', and a wrong precedence."""
+    routes = [
+        messages.Route(str(i), prefix, methods)
+        for i, (prefix, methods) in enumerate(prefixes)
+    ]
+    compiled = table.RouteTable(routes)
+    for path in paths:
+        path = path if path == '/' else path + slash
+        assert compiled.match(method, path) is _naive_match(
+            routes, method, path
+        )
+
+
+@pytest.mark.parametrize(
+    'path,name',
+    [
+        ('/pay/1', 'pay'),
+        ('/p%61y/1', 'pay'),
+        ('/open/.well', 'open'),
+        ('/open/%2e%2e/pay', None),
+        ('/open/../pay', None),
+        ('/open/./x', None),
+        ('/open%2fpay', None),
+        ('//pay', None),
+        ('/open\\..\\pay', None),
+        ('/open/%5c', None),
+        ('pay', None),
+        ('', None),
+        ('/' + 'x/' * 9000, 'open'),
+    ],
+)
+def test_ambiguous_paths(path: str, name: str | None) -> None:
+    """Guards against R3: an open route that leads to a guarded path."""
+    compiled = table.RouteTable(
+        [messages.Route('pay', '/pay'), messages.Route('open', '/')]
+    )
+    route = compiled.match('GET', path)
+    assert (route.name if route else None) == name
+
+
+def test_method_has_no_shorter_fallback() -> None:
+    """Guards against GET /pay that falls back to the open route '/'."""
+    compiled = table.RouteTable(
+        [messages.Route('pay', '/pay', ['POST']), messages.Route('o', '/')]
+    )
+    assert compiled.match('GET', '/pay') is None
+
+
+def _member(
+    name: str, zone: str = 'z1', state: str = 'READY', is_drained: bool = False
+) -> messages.Member:
+    return messages.Member(
+        messages.NodeId(name),
+        service=_SERVICE,
+        zone=zone,
+        state=messages.UpstreamState[state],
+        is_drained=is_drained,
+        slots=10,
+    )
+
+
+def _update(index: int, **fields: typing.Any) -> messages.StateUpdate:
+    return messages.StateUpdate(index=index, **fields)
+
+
+def test_view_never_goes_back() -> None:
+    """Guards against R10: an update of a replica that is behind."""
+    state = view.View()
+    changes: list[int] = []
+    state.on_change.append(lambda: changes.append(state.index))
+    assert not state.apply(_update(9, members=[_member('n1')]))
+    full = messages.Configuration(
+        number=2,
+        keys=[messages.Key(messages.KeyId('k'), digest='d')],
+        workspaces=[messages.Workspace('w', 1.0, 1)],
+        upstreams=[messages.UpstreamRule('n2', is_withdrawn=True)],
+    )
+    assert state.apply(
+        _update(
+            5,
+            is_full=True,
+            has_configuration=True,
+            configuration=full,
+            members=[_member('n1'), _member('n2')],
+        )
+    )
+    assert state.key_by_digest('d') is state.key_by_id(messages.KeyId('k'))
+    assert state.upstream_rule(messages.NodeId('n2')) is not None
+    assert not state.apply(_update(4, is_full=True))
+    marks = [
+        messages.Quarantine(b'q', is_quarantined=True),
+        messages.Quarantine(b's'),
+    ]
+    assert state.apply(
+        _update(
+            6,
+            removed_members=['n1'],
+            has_quarantines=True,
+            quarantines=marks,
+        )
+    )
+    assert state.number == 2 and 'w' in state.workspaces
+    assert [m.node_id for m in state.members_of(_SERVICE)] == ['n2']
+    assert state.is_quarantined(b'q') and not state.is_suspect(b'q')
+    assert state.is_suspect(b's') and not state.is_quarantined(b's')
+    assert changes == [5, 6]
+
+
+def _picker(
+    members: list[messages.Member], withdrawn: list[str], seed: int = 1
+) -> picker.Picker:
+    state = view.View()
+    chooser = picker.Picker(state, 'z1', random.Random(seed))
+    rules = [
+        messages.UpstreamRule(name, is_withdrawn=True) for name in withdrawn
+    ]
+    state.apply(
+        _update(
+            1,
+            is_full=True,
+            members=members,
+            has_configuration=True,
+            configuration=messages.Configuration(upstreams=rules),
+        )
+    )
+    return chooser
+
+
+def _naive_choices(
+    usable: list[tuple[messages.Member, float, float]], now: float
+) -> set[str]:
+    """Return every owner that two random choices in each zone can give.
+
+    usable has (member, score, end of avoidance) of each that is allowed.
+    """
+    free = [entry for entry in usable if entry[2] <= now]
+    if not free:
+        first = min((entry[2] for entry in usable), default=0.0)
+        return {m.node_id for m, _, until in usable if until == first}
+    winners = []
+    for is_near in (True, False):
+        zone = [e for e in free if (e[0].zone == 'z1') == is_near]
+        pairs = [(a, b) for a in zone for b in zone if a is not b]
+        pairs = pairs or [(a, a) for a in zone]
+        winners.append(
+            [e for a, b in pairs for e in (a, b) if e[1] <= min(a[1], b[1])]
+        )
+    near, far = winners
+    if not near or not far:
+        return {e[0].node_id for e in near + far}
+    return {
+        (a if a[1] - b[1] <= picker.ZONE_MARGIN else b)[0].node_id
+        for a in near
+        for b in far
+    }
+
+
+@hypothesis.settings(max_examples=_EXAMPLES, deadline=None, derandomize=True)
+@hypothesis.given(
+    members=strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(['z1', 'z2', 'z3']),
+            strategies.sampled_from(['READY', 'READY', 'DRAINING', 'DOWN']),
+            strategies.booleans(),
+        ),
+        max_size=6,
+    ),
+    events=strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 5),
+            strategies.sampled_from(['send', 'send', 'good', 'fail']),
+            strategies.integers(0, 12),
+            strategies.sampled_from([0.0, 0.1, 0.3, 1.5]),
+        ),
+        max_size=20,
+    ),
+    excluded=strategies.sets(strategies.integers(0, 5), max_size=3),
+    withdrawn=strategies.sets(strategies.integers(0, 5), max_size=1),
+    seed=strategies.integers(0, 99),
+)
+def test_pick_against_model(
+    members: list[tuple[str, str, bool]],
+    events: list[tuple[int, str, int, float]],
+    excluded: set[int],
+    withdrawn: set[int],
+    seed: int,
+) -> None:
+    """Guards against work for a drained, withdrawn or failed owner."""
+    known = [
+        _member(f'n{i}', zone, state, is_drained and i % 2 == 0)
+        for i, (zone, state, is_drained) in enumerate(members)
+    ]
+    chooser = _picker(known, [f'n{i}' for i in withdrawn], seed)
+    outstanding = dict.fromkeys(range(6), 0)
+    reports: dict[int, tuple[int, float]] = {}
+    failures = dict.fromkeys(range(6), 0)
+    until = dict.fromkeys(range(6), float('-inf'))
+    now = 0.0
+    for i, kind, load, pause_s in events:
+        now += pause_s
+        node_id = messages.NodeId(f'n{i}')
+        if i >= len(known):
+            continue
+        if kind == 'send':
+            chooser.on_dispatch(node_id)
+            outstanding[i] += 1
+            continue
+        report = messages.LoadReport(load // 2, load - load // 2, 10)
+        is_failed = kind == 'fail'
+        chooser.on_answer(
+            node_id, None if is_failed else report, is_failed, now
+        )
+        outstanding[i] = max(outstanding[i] - 1, 0)
+        if not is_failed:
+            reports[i] = (load, now)
+            failures[i] = 0
+            until[i] = float('-inf')
+        elif now >= until[i]:
+            failures[i] += 1
+            until[i] = now + min(0.2 * 2 ** (failures[i] - 1), 5.0)
+    usable = []
+    for i, member in enumerate(known):
+        load, at = reports.get(i, (0, now))
+        weight = max(1 - (now - at) / picker.REPORT_LIFETIME_S, 0)
+        score = (outstanding[i] + load * weight) / 10
+        is_usable = (
+            member.state is messages.UpstreamState.READY
+            and not member.is_drained
+            and i not in excluded | withdrawn
+        )
+        if is_usable:
+            usable.append((member, score, until[i]))
+    choices = _naive_choices(usable, now)
+    names = {messages.NodeId(f'n{i}') for i in excluded}
+    for _ in range(5):
+        chosen = chooser.pick(_SERVICE, names, now)
+        if chosen is None:
+            assert not choices
+        else:
+            assert chosen.node_id in choices
