--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -88,6 +88,7 @@
                 _LOG.debug('Link to %s failed: %s', self.slot, e)
             finally:
                 self.link = None
+                self.is_caught_up = False
                 link.close()
                 reader.cancel()
             await asyncio.sleep(pause_s)
--- a/tests/consensus/fleet.py
+++ b/tests/consensus/fleet.py
@@ -53,6 +53,7 @@
         self.machine = Machine()
         self.roles: list[bool] = []
         self.links: set[link.Link] = set()
+        self.server: asyncio.Server | None = None
         self.identity = link.Identity(messages.Role.CONTROL, slot, _SECRET)
         self.replica = replicas.Replica.from_config(
             settings.ControlOptions(
@@ -93,7 +94,8 @@
             await self.replica.stop()
         else:
             await self.replica.close()
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
         for each in self.links:
             each.close()
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -1,33 +1,551 @@
 """Replicas against crashes, cut links and lost disks."""
 
 import asyncio
+import collections.abc
 import contextlib
 import pathlib
 import typing
 
 import pytest
 
+from godwitstall.consensus import storage
 from godwitstall import errors
+from godwitstall import link
 from godwitstall import messages
 from tests.consensus import fleet as fleets
 
+_KIND = errors.ErrorKind
+_COMMANDS = [b'%d' % i for i in range(50)]
 
-@pytest.mark.parametrize('size', [1, 3, 5])
-def test_commands_reach_every_replica(
-    tmp_path: pathlib.Path, size: int
-) -> None:
+_Scenario = collections.abc.Callable[
+    [fleets.Fleet], collections.abc.Coroutine[None, None, None]
+]
+_scenarios: list[tuple[_Scenario, int, dict[str, typing.Any]]] = []
+
+
+def _scenario(
+    size: int = 3, **options: typing.Any
+) -> collections.abc.Callable[[_Scenario], _Scenario]:
+    """Register a scenario, which runs with a fleet of this size."""
+
+    def register(function: _Scenario) -> _Scenario:
+        _scenarios.append((function, size, options))
+        return function
+
+    return register
+
+
+async def _propose_all(fleet: fleets.Fleet) -> None:
+    leader = await fleet.leader()
+    results = await asyncio.gather(
+        *(leader.replica.propose(c, fleets.WAIT_S) for c in _COMMANDS)
+    )
+    assert [r[1] for r in results] == [b'did ' + c for c in _COMMANDS]
+    await fleet.agree(*_COMMANDS)
+    index = await leader.replica.read_barrier(fleets.WAIT_S)
+    assert index >= results[-1][0]
+
+
+@_scenario(1)
+async def alone(fleet: fleets.Fleet) -> None:
+    """Guards against a fleet of one that waits for others."""
+    await fleet.start()
+    await _propose_all(fleet)
+
+
+@_scenario(5)
+async def five(fleet: fleets.Fleet) -> None:
     """Guards against commands that are lost, doubled or reordered."""
-    commands = [b'%d' % i for i in range(50)]
+    await fleet.start()
+    await _propose_all(fleet)
+    assert sum(m.replica.is_leader for m in fleet.members.values()) == 1
+
+
+@_scenario()
+async def kill_each(fleet: fleets.Fleet) -> None:
+    """Guards against lost entries when each replica is killed in turn."""
+    await fleet.start()
+    done = []
+    for round_number in range(2):
+        for slot in fleet.slots:
+            await fleet.leader()
+            await fleet.end(slot)
+            command = b'%s %d' % (slot.encode(), round_number)
+            await fleet.propose(command)
+            done.append(command)
+            await fleet.start(slot)
+            await fleet.agree(*done)
+
+
+@_scenario()
+async def kill_all(fleet: fleets.Fleet) -> None:
+    """Guards against acknowledged entries that were not on the disk."""
+    await fleet.start()
+    await fleet.propose(*_COMMANDS)
+    for slot in fleet.slots:
+        await fleet.end(slot)
+    await fleet.start()
+    await fleet.propose(b'more')
+    await fleet.agree(*_COMMANDS, b'more')
+
+
+@_scenario(snapshot_entries=32)
+async def snapshots(fleet: fleets.Fleet) -> None:
+    """Guards against loss by snapshots, and logs that grow forever.
+
+    One replica misses more than the others keep in their logs.
+    """
+    await fleet.start()
+    leader = await fleet.leader()
+    late = fleet.others(leader.slot)[0]
+    await fleet.end(late)
+    commands = [b'%d' % i for i in range(400)]
+    for start in range(0, 400, 20):
+        await asyncio.gather(
+            *(
+                leader.replica.propose(c, fleets.WAIT_S)
+                for c in commands[start : start + 20]
+            )
+        )
+    await fleet.start(late)
+    await fleet.agree(*commands)
+    await fleets.until(lambda: leader.replica.log.snapshot_index > 320)
+    await leader.replica.log.sync()
+    assert leader.replica.log.first_index > 200
+    assert len(list(fleet.folder(leader.slot).glob('wal-*'))) <= 4
+    for slot in fleet.slots:
+        await fleet.end(slot)
+    await fleet.start()
+    await fleet.propose(b'more')
+    await fleet.agree(*commands, b'more')
+
+
+@_scenario()
+async def stale_leader(fleet: fleets.Fleet) -> None:
+    """Guards against a cut-off leader that commits or confirms reads."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    old = await fleet.leader()
+    fleet.cut(old.slot)
+    proposal = asyncio.create_task(
+        old.replica.propose(b'stale', fleets.WAIT_S)
+    )
+    new = await fleet.leader(*fleet.others(old.slot))
+    # Whatever the old leader believes, it must not confirm a read now.
+    assert not old.replica.holds_lease()
+    with pytest.raises(errors.ControlError) as caught:
+        await old.replica.read_barrier(0.5)
+    assert caught.value.kind in (_KIND.NOT_LEADER, _KIND.CONTROL_LOST)
+    with pytest.raises(errors.ControlError) as caught:
+        await proposal
+    assert caught.value.kind is _KIND.CONTROL_LOST
+    await fleets.until(lambda: not old.replica.is_leader)
+    with pytest.raises(errors.ControlError) as caught:
+        await old.replica.propose(b'refused', 1.0)
+    assert caught.value.kind is _KIND.NOT_LEADER
+    await fleet.propose(b'after', among=(new.slot,))
+    assert old.machine.commands == [b'before']
+    fleet.cuts.clear()
+    await fleet.agree(b'before', b'after')
+    assert old.roles == [True, False]
+
+
+@_scenario()
+async def no_majority(fleet: fleets.Fleet) -> None:
+    """Guards against progress without a majority."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    for slot in fleet.others(leader.slot):
+        await fleet.end(slot)
+    with pytest.raises(errors.ControlError) as caught:
+        await leader.replica.propose(b'lost', 0.2)
+    assert caught.value.kind is _KIND.CONTROL_LOST
+    await fleets.until(lambda: not leader.replica.is_leader)
+    assert leader.machine.commands == [b'before']
+
+
+@_scenario()
+async def returning_replica(fleet: fleets.Fleet) -> None:
+    """Guards against a replica that deposes a working leader on return.
+
+    Without the pre-vote it would raise its term while it is cut off.
+    """
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    cut_off = fleet.others(leader.slot)[0]
+    term = leader.replica.term
+    fleet.cut(cut_off)
+    election = fleet.members[cut_off].replica.election
+    deadline = election.deadline
+    # Three elections that it started in vain.
+    for _ in range(3):
+        await fleets.until(lambda: election.deadline != deadline)
+        deadline = election.deadline
+    await fleets.until(lambda: election.deadline > election.heard_at + 1)
+    fleet.cuts.clear()
+    await fleet.propose(b'after')
+    await fleet.agree(b'before', b'after')
+    assert leader.replica.is_leader and leader.replica.term == term
+
+
+@_scenario()
+async def lost_disk(fleet: fleets.Fleet) -> None:
+    """Guards against a replaced disk that never gets its vote back."""
+    await fleet.start()
+    await fleet.propose(*_COMMANDS)
+    leader = await fleet.leader()
+    lost, other = fleet.others(leader.slot)
+    await fleet.end(lost)
+    fleet.format(lost, False)
+    await fleet.start(lost)
+    replica = fleet.members[lost].replica
+    await fleets.until(lambda: replica.is_voter(lost, replica.disk.disk_id))
+    await fleet.propose(b'after')
+    await fleet.agree(*_COMMANDS, b'after')
+    # The new voter now makes a majority with one other replica.
+    await fleet.end(other)
+    await fleet.propose(b'last')
+    await fleet.agree(*_COMMANDS, b'after', b'last')
+
+
+async def _replace_and_lose(fleet: fleets.Fleet, is_initial: bool) -> None:
+    """Replace one disk, and cut the only replica that has the last entry.
+
+    The empty disk and a replica that lacks the entry must not elect a
+    leader.
+    """
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    behind, lost = fleet.others(leader.slot)
+    await fleet.agree(b'before')
+    fleet.cut(behind)
+    await fleet.propose(b'acknowledged', among=(leader.slot,))
+    await fleets.until(lambda: len(fleet.members[lost].machine.commands) == 2)
+    await fleet.end(lost)
+    await fleet.end(leader.slot)
+    fleet.cuts.clear()
+    fleet.format(lost, is_initial)
+    await fleet.start(lost)
+    empty = fleet.members[lost].replica
+    remaining = fleet.members[behind].replica
+    await fleets.until(lambda: remaining.peers[lost].link is not None)
+    deadlines = set()
+    for _ in range(5):
+        deadline = remaining.election.deadline
+        deadlines.add(deadline)
+        await fleets.until(
+            lambda d=deadline: remaining.election.deadline != d  # type: ignore
+        )
+    assert not empty.is_leader and not remaining.is_leader
+    await fleet.start(leader.slot)
+    await fleet.propose(b'after')
+    await fleet.agree(b'before', b'acknowledged', b'after')
+    await fleets.until(lambda: empty.is_voter(lost, empty.disk.disk_id))
+
+
+@_scenario()
+async def empty_disk_has_no_vote(fleet: fleets.Fleet) -> None:
+    """Guards against an empty disk that counts in a majority."""
+    await _replace_and_lose(fleet, False)
+
+
+@_scenario()
+async def initial_disk_again_has_no_vote(fleet: fleets.Fleet) -> None:
+    """Guards against a disk formatted as initial a second time."""
+    await _replace_and_lose(fleet, True)
+
+
+@_scenario()
+async def learner_does_not_commit(fleet: fleets.Fleet) -> None:
+    """Guards against entries committed by a leader and a learner alone."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    lost, other = fleet.others(leader.slot)
+    await fleet.end(lost)
+    await fleet.end(other)
+    fleet.format(lost, False)
+    proposal = asyncio.create_task(leader.replica.propose(b'x', 5.0))
+    await fleet.start(lost)
+    with pytest.raises(errors.ControlError) as caught:
+        await proposal
+    assert caught.value.kind is _KIND.CONTROL_LOST
+    assert leader.machine.commands == [b'before']
+
+
+@_scenario()
+async def hand_over(fleet: fleets.Fleet) -> None:
+    """Guards against a planned stop that leaves the fleet leaderless."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    followers = fleet.others(leader.slot)
+    heard = [fleet.members[s].replica.election for s in followers]
+    for each in heard:
+        # Only the leader's request can start an election now.
+        each.deadline += 3600
+        each.defer = lambda: None  # type: ignore[method-assign]
+    await fleet.end(leader.slot, planned=True)
+    assert leader.roles == [True, False]
+    await fleet.leader(*followers)
+    await fleet.propose(b'after')
+    await fleet.agree(b'before', b'after')
+
+
+@_scenario()
+async def voter_changes_are_checked(fleet: fleets.Fleet) -> None:
+    """Guards against two changes at once and voters that are not ready."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    slot, other = fleet.others(leader.slot)
+    disk_id = fleet.members[slot].replica.disk.disk_id
+    unknown = messages.DiskId('unknown')
+    refused: list[messages.Message] = [
+        messages.RemoveVoter(slot, unknown),
+        messages.RemoveVoter(leader.slot, leader.replica.disk.disk_id),
+        messages.AddVoter(messages.Voter(slot, disk_id)),
+    ]
+    for change in refused:
+        _, result = await leader.replica.propose(
+            messages.encode(change), fleets.WAIT_S
+        )
+        answer = messages.decode(result)
+        assert isinstance(answer, messages.CommandResult)
+        assert not answer.is_accepted
+    await fleet.end(slot)
+    await fleets.until(lambda: leader.replica.peers[slot].link is None)
+    removal = messages.encode(messages.RemoveVoter(slot, disk_id))
+    both = await asyncio.gather(
+        leader.replica.propose(removal, fleets.WAIT_S),
+        leader.replica.propose(
+            messages.encode(
+                messages.RemoveVoter(
+                    other, fleet.members[other].replica.disk.disk_id
+                )
+            ),
+            fleets.WAIT_S,
+        ),
+    )
+    accepted = [messages.decode(result) for _, result in both]
+    assert [
+        isinstance(a, messages.CommandResult) and a.is_accepted
+        for a in accepted
+    ] == [True, False]
+    assert set(leader.replica.voters.current) == {leader.slot, other}
+    # The disk is still good, so it gets its vote back.
+    await fleet.start(slot)
+    await fleets.until(lambda: leader.replica.is_voter(slot, disk_id))
+    await fleet.agree(b'before')
+
+
+@pytest.mark.parametrize(
+    ('scenario', 'size', 'options'),
+    [pytest.param(*each, id=each[0].__name__) for each in _scenarios],
+)
+def test_scenario(
+    tmp_path: pathlib.Path,
+    scenario: _Scenario,
+    size: int,
+    options: dict[str, typing.Any],
+) -> None:
+    fleets.run(scenario, fleets.Fleet(tmp_path, size, **options))
+
+
+def test_cancelled_request_stays_cancelled() -> None:
+    """Guards against a replica whose tasks do not end at a stop.
+
+    The reply comes in the same loop iteration as the cancellation.
+    """
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        one = link.Link(*await asyncio.open_connection('127.0.0.1', port))
+        task = asyncio.create_task(one.request(messages.BarrierRequest(), 9.0))
+        await fleets.until(lambda: bool(one.pending))
+        next(iter(one.pending.values())).set_result(messages.BarrierReply())
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        one.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
+class _Caller:
+    """Stands in for a link; keeps the replies."""
+
+    peer_role = messages.Role.CONTROL
+    peer_id = 'c2'
+
+    def __init__(self) -> None:
+        self.replies: list[typing.Any] = []
+
+    def send(self, message: messages.Message) -> None:
+        self.replies.append(message)
+
+
+def _vote_request(slot: str, **fields: typing.Any) -> messages.VoteRequest:
+    defaults: dict[str, typing.Any] = {
+        'term': 9,
+        'slot': messages.SlotId(slot),
+        'disk_id': messages.DiskId('d'),
+        'last_index': 99,
+        'last_term': 8,
+    }
+    return messages.VoteRequest(**defaults | fields)
+
+
+async def _ask(member: fleets.Member, request: messages.Message) -> typing.Any:
+    caller = _Caller()
+    assert await member.replica.handle(request, typing.cast(link.Link, caller))
+    return caller.replies[0]
+
+
+async def _quiet_member(fleet: fleets.Fleet) -> fleets.Member:
+    """Return the only running replica, which never stands for election."""
+    slot = fleet.slots[0]
+    await fleet.start(slot)
+    election = fleet.members[slot].replica.election
+    election.deadline += 3600
+    election.defer = lambda: None  # type: ignore[method-assign]
+    election.heard_at = 0.0
+    return fleet.members[slot]
+
+
+def test_one_vote_in_a_term(tmp_path: pathlib.Path) -> None:
+    """Guards against two candidates with the same vote, also by a restart."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        member = await _quiet_member(fleet)
+        first = await _ask(member, _vote_request('c2'))
+        second = await _ask(member, _vote_request('c3'))
+        assert (first.is_granted, second.is_granted) == (True, False)
+        await fleet.end(member.slot)
+        member = await _quiet_member(fleet)
+        assert member.replica.term == 9
+        second = await _ask(member, _vote_request('c3'))
+        again = await _ask(member, _vote_request('c2'))
+        assert (again.is_granted, second.is_granted) == (True, False)
+
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3))
+
+
+_REFUSED: dict[str, dict[str, typing.Any]] = {
+    'older term': {'term': 3},
+    'shorter log': {'last_index': 1},
+    'older log': {'last_term': 1, 'last_index': 9999},
+    'empty log': {'last_term': 0, 'last_index': 0},
+    'pre-vote for the current term': {'term': 4, 'is_pre_vote': True},
+}
+
+
+def test_votes_refused(tmp_path: pathlib.Path) -> None:
+    """Guards against a leader that lacks committed entries."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        member = await _quiet_member(fleet)
+        entries = [messages.Entry(i, 4, 1, b'x') for i in (1, 2)]
+        appended = await _ask(
+            member,
+            messages.AppendRequest(
+                term=4, slot=messages.SlotId('c2'), entries=entries
+            ),
+        )
+        assert appended.is_success and appended.match_index == 2
+        # Heard from a leader a moment ago.
+        member.replica.options.election_min_s = 3600.0
+        reply = await _ask(member, _vote_request('c3'))
+        assert not reply.is_granted and member.replica.term == 4
+        member.replica.election.heard_at = -3600.0
+        for name, fields in _REFUSED.items():
+            request = _vote_request('c3', **{'last_term': 4} | fields)
+            reply = await _ask(member, request)
+            assert not reply.is_granted, name
+        reply = await _ask(member, _vote_request('c3', last_term=4))
+        assert reply.is_granted
+
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3))
+
+
+def test_restart_gives_no_vote_at_once(tmp_path: pathlib.Path) -> None:
+    """Guards against a leader lease broken by a restarted follower."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        slot = fleet.slots[0]
+        await fleet.start(slot)
+        member = fleet.members[slot]
+        reply = await _ask(member, _vote_request('c2'))
+        assert not reply.is_granted
+
+    options = {'election_min_s': 60.0, 'election_max_s': 61.0}
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3, **options))
+
+
+def test_conflicting_entries_are_cut(tmp_path: pathlib.Path) -> None:
+    """Guards against entries of a lost leader that stay in the log."""
+
+    def append(
+        term: int, previous: tuple[int, int], *terms: int
+    ) -> messages.AppendRequest:
+        start = previous[0] + 1
+        return messages.AppendRequest(
+            term=term,
+            slot=messages.SlotId('c2'),
+            previous_index=previous[0],
+            previous_term=previous[1],
+            entries=[
+                messages.Entry(start + i, t, 1, b'%d' % t)
+                for i, t in enumerate(terms)
+            ],
+        )
+
+    # Request, whether it fits, match index or hint, terms in the log.
+    steps = [
+        (append(1, (0, 0), 1, 1, 1), True, 3, [1, 1, 1]),
+        (append(2, (5, 2), 2), False, 3, [1, 1, 1]),
+        (append(2, (3, 2), 2), False, 0, [1, 1, 1]),
+        (append(2, (1, 1), 2, 2), True, 3, [1, 2, 2]),
+        (append(2, (0, 0), 1), True, 1, [1, 2, 2]),
+        (append(1, (0, 0), 1, 1), False, 0, [1, 2, 2]),
+        (append(3, (2, 2), 3), True, 3, [1, 2, 3]),
+    ]
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        member = await _quiet_member(fleet)
+        for request, is_success, match_index, terms in steps:
+            reply = await _ask(member, request)
+            assert reply.is_success is is_success
+            assert reply.match_index == match_index
+            assert [e.term for e in member.replica.log.entries] == terms
+        await fleet.end(member.slot)
+        member = await _quiet_member(fleet)
+        assert [e.term for e in member.replica.log.entries] == [1, 2, 3]
+
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3))
+
+
+def test_disk_failure_ends_the_replica(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against acknowledging entries that a full disk refused."""
+
+    def refuse(*arguments: typing.Any) -> None:
+        raise OSError(28, 'No space left on device')
 
     async def scenario(fleet: fleets.Fleet) -> None:
         await fleet.start()
         leader = await fleet.leader()
-        results = await asyncio.gather(
-            *(leader.replica.propose(c, fleets.WAIT_S) for c in commands)
-        )
-        assert [r[1] for r in results] == [b'did ' + c for c in commands]
-        await fleet.agree(*commands)
-        index = await leader.replica.read_barrier(fleets.WAIT_S)
-        assert index >= results[-1][0]
+        monkeypatch.setattr(storage.LogFiles, 'append', refuse)
+        with contextlib.suppress(errors.ControlError):
+            await leader.replica.propose(b'lost', fleets.WAIT_S)
+            pytest.fail('acknowledged')
+        assert leader.replica.failure is not None
+        assert not leader.replica.is_leader
 
-    fleets.run(scenario, fleets.Fleet(tmp_path, size))
+    fleets.run(scenario, fleets.Fleet(tmp_path, 1))
