Test wrong settings and fix what the tests found

Cause: settings had no tests. A table of wrong files found these faults: - An IP number of version 6 in brackets was accepted and then failed at the first connection, because sockets take no brackets. One without brackets was accepted although the port cannot be told from the number. - '[10.0.1.1]:7202' was accepted and failed later in the same way. - link_address and the addresses of control could be 0.0.0.0, where no other process can connect. - A file name with a null byte, for the file itself or the secret, and a file nested too deeply gave a traceback.

Ruled out: refusing version 6 altogether. The design says IP address, and two small changes make it work.

Change: check_address() wants brackets exactly around version 6, split_address() takes them off, and node/upstream.py uses split_address(). Addresses that others connect to must name one host.

--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -233,9 +233,13 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of 'host:port'."""
+    """Return host and port of 'host:port'.
+
+    An IP number of version 6 stands in brackets in an address, but sockets
+    take it without them.
+    """
     host, _, port = address.rpartition(':')
-    return host, int(port)
+    return host.strip('[]'), int(port)
 
 
 async def connect(
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -15,6 +15,7 @@
 from godwitstall import errors
 from godwitstall.limits import concurrency
 from godwitstall.limits import warmup
+from godwitstall import link as link_module
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -136,7 +137,7 @@
         )
         if self.client is not None:
             self.client.close()
-        host, _, _ = self.options.upstream_address.rpartition(':')
+        host, _ = link_module.split_address(self.options.upstream_address)
         self.client = upstream_client.UpstreamClient(
             host,
             announcement.port,
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -235,14 +235,20 @@
     return fleet, options, log_options
 
 
+def _read_problem(error: OSError | ValueError) -> str:
+    """Return why a file cannot be read; ValueError is for its name."""
+    cause = error.strerror if isinstance(error, OSError) else error
+    return f'cannot be read: {cause}'
+
+
 def _read(path: pathlib.Path) -> dict[str, typing.Any]:
     try:
-        return tomllib.loads(path.read_text('utf-8'))
-    except OSError as e:
-        raise errors.SettingsError(
-            [f'{path}: cannot be read: {e.strerror}']
-        ) from e
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as e:
+        data = path.read_bytes()
+    except (OSError, ValueError) as e:
+        raise errors.SettingsError([f'{path}: {_read_problem(e)}']) from e
+    try:
+        return tomllib.loads(data.decode('utf-8'))
+    except ValueError as e:
         raise errors.SettingsError([f'{path}: is no TOML: {e}']) from e
     except RecursionError as e:
         raise errors.SettingsError([f'{path}: is nested too deeply']) from e
@@ -324,7 +330,9 @@
 
 
 def _check_range(key: str, value: typing.Any) -> None:
-    if key.endswith('_address'):
+    if key == 'link_address':
+        _check_reachable(value)
+    elif key.endswith('_address'):
         check_address(value)
     if key in _RANGES:
         low, high = _RANGES[key]
@@ -335,16 +343,33 @@
 def check_address(value: str) -> None:
     """Raise ValueError unless value is 'IP number:port'."""
     host, _, port = value.rpartition(':')
+    is_bracketed = host.startswith('[') and host.endswith(']')
     try:
-        ipaddress.ip_address(host.strip('[]'))
+        number = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
     except ValueError as e:
         raise ValueError(
             f'must be an IP number and a port, not {value!r}'
         ) from e
+    if is_bracketed and number.version == 4:
+        raise ValueError(f'must be an IP number and a port, not {value!r}')
+    if not is_bracketed and number.version == 6:
+        raise ValueError(
+            f'needs brackets around an IP number of version 6, not {value!r}'
+        )
     if not port.isdecimal() or not 1 <= int(port) <= 65_535:
         raise ValueError(f'has no port from 1 to 65535: {value!r}')
 
 
+def _check_reachable(value: str) -> None:
+    """Raise ValueError unless other processes can connect to an address."""
+    check_address(value)
+    host, _, _ = value.rpartition(':')
+    if ipaddress.ip_address(host.strip('[]')).is_unspecified:
+        raise ValueError(
+            f'other processes connect there, so it cannot be {value!r}'
+        )
+
+
 def _level_problems(path: pathlib.Path, options: LogOptions) -> list[str]:
     levels = {'level': options.level}
     levels |= {f'parts.{part}': lv for part, lv in options.parts.items()}
@@ -359,7 +384,7 @@
     problems = []
     for slot, address in fleet.control.items():
         try:
-            check_address(address)
+            _check_reachable(address)
         except ValueError as e:
             problems.append(f'{path}: fleet.control.{slot}: {e}')
     if len(fleet.control) not in (1, 3, 5, 7):
@@ -374,10 +399,8 @@
             problems.append(
                 f'{path}: fleet.secret_file: needs at least 16 bytes'
             )
-    except OSError as e:
-        problems.append(
-            f'{path}: fleet.secret_file: cannot be read: {e.strerror}'
-        )
+    except (OSError, ValueError) as e:
+        problems.append(f'{path}: fleet.secret_file: {_read_problem(e)}')
     return problems
 
 
