--- a/godwitstall/command_line.py
+++ b/godwitstall/command_line.py
@@ -11,6 +11,7 @@
 """
 
 import pathlib
+import re
 import sys
 import typing
 
@@ -50,7 +51,9 @@
     try:
         words: list[str] = values(argv)[1:]
     except flags.Error as e:
-        fail(program, ' '.join(str(e).split()).rstrip('.'))
+        # absl shows some causes as a tuple ('cause', 'value').
+        text = re.sub(r"\('(.*)', '(.*)'\)$", r'\1: \2', str(e))
+        fail(program, ' '.join(text.split()).rstrip('.'))
     return words
 
 
--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -427,7 +427,13 @@
     if not isinstance(result, messages.CommandResult):
         raise CommandError('Control gave an unexpected reply.')
     if not result.is_accepted:
-        return Result(result.detail, is_success=False)
+        # A command that is sent again after a lost reply finds no record,
+        # which is what was wanted.
+        found = await client.query(
+            messages.QueryKind.QUARANTINE, matches[0]['fingerprint']
+        )
+        if found['quarantines']:
+            return Result(result.detail, is_success=False)
     return Result('The request may run again.')
 
 
