--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -12,11 +12,14 @@
 import asyncio
 import collections.abc
 import contextlib
+import http
+import json
 import typing
 
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from godwitstall import errors
 from godwitstall import link
 from godwitstall import metrics
 
@@ -24,13 +27,8 @@
     'headers_too_large_total', 'Connections closed for oversized headers.'
 )
 
-_HEADERS_TOO_LARGE = (
-    b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
-    b'connection: close\r\n'
-    b'godwitstall-outcome: not-run\r\n'
-    b'godwitstall-error: headers_too_large\r\n'
-    b'content-length: 0\r\n\r\n'
-)
+# Method, version and separators, which do not count as headers.
+_FRAMING_BYTES = 1024
 
 # Requests that wait in the kernel while the loop is busy.
 _BACKLOG = 2048
@@ -39,17 +37,57 @@
 _KEEP_ALIVE_S = 75
 
 
+def _refusal(kind: errors.ErrorKind) -> bytes:
+    """Return the whole answer to a request that gets to no application."""
+    rule = errors.ANSWERS[kind]
+    body = json.dumps(
+        {
+            'error': kind.label,
+            'outcome': rule.outcome.label,
+            'detail': rule.text,
+            'retry_after_ms': 0,
+        }
+    )
+    phrase = http.HTTPStatus(rule.status).phrase
+    return (
+        f'HTTP/1.1 {rule.status} {phrase}\r\n'
+        f'connection: close\r\n'
+        f'godwitstall-outcome: {rule.outcome.label}\r\n'
+        f'godwitstall-error: {kind.label}\r\n'
+        f'content-type: application/json\r\n'
+        f'content-length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+def _has_body(headers: list[tuple[bytes, bytes]]) -> bool:
+    """Return whether a request with these headers brings a body."""
+    return any(
+        name == b'transfer-encoding'
+        or (name == b'content-length' and value != b'0')
+        for name, value in headers
+    )
+
+
+class _RefusedError(Exception):
+    """Ends the parser: the request was refused already."""
+
+
 class _BoundedProtocol(httptools_impl.HttpToolsProtocol):
-    """Refuses headers above a bound; the httptools parser has none."""
+    """Bounds headers, which the parser does not, and answers bad requests."""
 
     max_header_bytes: typing.ClassVar[int] = 32 * 1024
 
     def connection_made(self, transport: typing.Any) -> None:
+        # Bytes of the path and of whole header lines; trailers count too.
         self.header_bytes = 0
+        # Bytes received since the last whole piece of a header.
+        self.unparsed_bytes = 0
+        self.is_in_headers = False
         super().connection_made(transport)
 
     def on_message_begin(self) -> None:
         self.header_bytes = 0
+        self.is_in_headers = True
         super().on_message_begin()
 
     def on_url(self, url: bytes) -> None:
@@ -58,25 +96,77 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self.header_bytes += len(name) + len(value)
-        super().on_header(name, value)
+        self.unparsed_bytes = 0
+        # A trailer must not be taken for a header: whoever checked the
+        # headers on the way did not see it.
+        if self.is_in_headers:
+            super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         if self.header_bytes > self.max_header_bytes:
-            self._refuse()
-            return
-        self.header_bytes = -1
+            self._refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
+            raise _RefusedError()
+        if self.parser.get_http_version() not in ('1.0', '1.1'):
+            self._refuse(errors.ErrorKind.BAD_REQUEST)
+            raise _RefusedError()
+        # The parser reads nothing after the headers of a request that offers
+        # another protocol: no body, which would be lost, and no further
+        # request. No other protocol is taken here.
+        is_last = self.parser.should_upgrade()
+        if is_last and _has_body(self.headers):
+            self._refuse(errors.ErrorKind.BAD_REQUEST)
+            raise _RefusedError()
+        self.is_in_headers = False
         super().on_headers_complete()
+        if is_last:
+            self.cycle.keep_alive = False
+
+    def on_body(self, body: bytes) -> None:
+        self.unparsed_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        self.unparsed_bytes = 0
+        super().on_message_complete()
 
     def data_received(self, data: bytes) -> None:
+        if self.transport.is_closing():
+            return
+        # The parser tells of a header line only at its end, and a line
+        # without an end must not fill the memory.
+        self.unparsed_bytes += len(data)
         super().data_received(data)
-        if self.header_bytes > self.max_header_bytes:
-            self._refuse()
+        if (
+            self.header_bytes > self.max_header_bytes
+            or self.unparsed_bytes > self.max_header_bytes + _FRAMING_BYTES
+        ):
+            self._refuse(errors.ErrorKind.HEADERS_TOO_LARGE)
+
+    def send_400_response(self, msg: str) -> None:
+        self._refuse(errors.ErrorKind.BAD_REQUEST)
 
-    def _refuse(self) -> None:
-        if not self.transport.is_closing():
+    def _refuse(self, kind: errors.ErrorKind) -> None:
+        if self.transport.is_closing():
+            return
+        if kind is errors.ErrorKind.HEADERS_TOO_LARGE:
             _HEADERS_REFUSED.inc()
-            self.transport.write(_HEADERS_TOO_LARGE)
-            self.transport.close()
+        if self._may_answer():
+            self.transport.write(_refusal(kind))
+        self.transport.close()
+
+    def _may_answer(self) -> bool:
+        """Return whether a refusal reaches the request that it is for.
+
+        Behind a request that still runs it would be taken for the answer to
+        that one, and would say falsely that it was not run.
+        """
+        if self.cycle is None or self.cycle.response_complete:
+            return True
+        return (
+            not self.pipeline
+            and self.cycle.more_body
+            and not self.cycle.response_started
+        )
 
 
 class _QuietServer(uvicorn.Server):
