Keep a second answer's headers out of the first

Cause: when an upstream sends two answers in one read, the parser's header callback of the second appended to the list that the first answer had taken over, so a caller could get headers meant for another request. Trailers joined the headers in the same way, and headers had no bound at all: an answer whose frame exceeds the bound of a link ends that link with all calls.

Ruled out: copying the list at the end of the first answer alone, since the trailers and the bound need the check in the same callback.

Change: headers after the end of the answer or of its header section are ignored; more than 64 KiB of headers is answer_too_large.

Before: of the shapes in tests/node/test_whole_answers.py, 'second answer in one read' and 'headers too large' failed. After: both pass.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -37,6 +37,10 @@
 # close after 5 s, and a request sent into a closing connection is lost.
 IDLE_LIMIT_S = 4.0
 
+# Largest headers of an answer, bytes. The frame that carries an answer to
+# another node is bounded, and one that is too long ends the whole link.
+MAX_HEADER_BYTES = 64 * 1024
+
 _CONNECT_TIMEOUT_S = 1.0
 _FIRST_FINAL_STATUS = 200
 
@@ -69,6 +73,9 @@
         self.is_head = False
         self.status = 0
         self.answer_headers: list[tuple[bytes, bytes]] = []
+        self.header_bytes = 0
+        # Whether the header section has ended; trailers come after it.
+        self.has_headers = False
         self.body = bytearray()
         self.parser: typing.Any = None
 
@@ -132,12 +139,27 @@
             return
         self.status = 0
         self.answer_headers = []
+        self.header_bytes = 0
+        self.has_headers = False
         self.body = bytearray()
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.waiter is None or self.waiter.done() or self.has_headers:
+            # The header of a second answer must not join the first, and a
+            # trailer is no header (RFC 9110, section 6.5.1).
+            return
+        self.header_bytes += len(name) + len(value)
+        if self.header_bytes > MAX_HEADER_BYTES:
+            self._fail(
+                errors.ErrorKind.ANSWER_TOO_LARGE,
+                'The headers of the answer are larger than allowed.',
+            )
+            self.close()
+            return
         self.answer_headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        self.has_headers = True
         self.status = self.parser.get_status_code()
         if self.is_head and self.status >= _FIRST_FINAL_STATUS:
             # The parser cannot know that no body follows.
