Give no content-length of 0 for an answer to HEAD

Cause: the length was that of the body read from the upstream, which is empty for HEAD, so a caller was told that the resource is empty (RFC 9110, section 8.6). Ruled out: relaying the upstream's length, since block headers carry no content-length. Change: the header is left out for HEAD.

--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -187,7 +187,7 @@
         finally:
             watch.stop()
             self.active -= 1
-        await self._respond(send, answer)
+        await self._respond(send, answer, scope['method'])
 
     async def _read(self, scope: Scope, receive: Receive) -> Request:
         raw_path: bytes = scope['raw_path']
@@ -369,8 +369,10 @@
             fingerprint=fingerprint(workspace, request),
         )
 
-    async def _respond(self, send: Send, answer: messages.Answer) -> None:
-        pairs, body = response_parts(answer)
+    async def _respond(
+        self, send: Send, answer: messages.Answer, method: str
+    ) -> None:
+        pairs, body = response_parts(answer, method)
         if self.is_stopping:
             pairs.append((b'connection', b'close'))
         await send(
@@ -467,7 +469,7 @@
 
 
 def response_parts(
-    answer: messages.Answer,
+    answer: messages.Answer, method: str
 ) -> tuple[list[tuple[bytes, bytes]], bytes]:
     """Return headers and body of the HTTP response for an answer."""
     own = [
@@ -478,7 +480,8 @@
         own.append((headers.REPLAYED, b'1'))
     if answer.kind is errors.ErrorKind.NONE:
         pairs = headers.from_block(answer.headers) + own
-        if answer.status not in (204, 304):
+        # For HEAD the length is that of a body which was not sent.
+        if answer.status not in (204, 304) and method != 'HEAD':
             pairs.append((b'content-length', b'%d' % len(answer.body)))
         return pairs, answer.body
     body = json.dumps(
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 import hashlib
 import json
@@ -83,6 +84,8 @@
         self.is_losing_replies = False
         # Whether commands are neither applied nor answered.
         self.is_deaf = False
+        # Commands that came while deaf, for late delivery.
+        self.held: list[messages.Message] = []
         # Commands in the order they were applied.
         self.commands: list[messages.Message] = []
         self.index = 0
@@ -192,7 +195,9 @@
                         message.seq, grants, _GRANT_LIFETIME_MS
                     )
                 )
-            case messages.Propose() if not self.is_deaf:
+            case messages.Propose() if self.is_deaf:
+                self.held.append(messages.decode(message.command))
+            case messages.Propose():
                 result = self.apply(messages.decode(message.command))
                 if not self.is_losing_replies:
                     link.send(
@@ -216,6 +221,7 @@
     closed: asyncio.Event
 
 
+# What a fake upstream does with a request.
 Respond = collections.abc.Callable[
     [Received, asyncio.StreamWriter], collections.abc.Awaitable[None]
 ]
@@ -235,6 +241,26 @@
     writer.write(response(request.path.encode() + b'|' + request.body))
 
 
+async def never(request: Received, writer: asyncio.StreamWriter) -> None:
+    """Answer nothing."""
+
+
+def sends(*parts: bytes, is_closing: bool = False) -> Respond:
+    """Return a script that writes parts and then may close."""
+
+    async def respond(request: Received, writer: asyncio.StreamWriter) -> None:
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0)
+        if is_closing:
+            writer.close()
+
+    return respond
+
+
+SHED = response(b'busy', 503, {'godwitstall-outcome': 'not-run'})
+
+
 class FakeUpstream:
     """An HTTP server whose answers are scripted; records each run."""
 
@@ -273,7 +299,8 @@
             self.runs.append(request)
             tasks.add(asyncio.create_task(self._respond(request, writer)))
 
-        parser = httptools.HttpRequestParser(_Collector(on_request, closed))
+        collector = _Collector(on_request, closed)
+        parser = collector.parser
         try:
             while data := await reader.read(65536):
                 parser.feed_data(data)
@@ -300,6 +327,7 @@
     ) -> None:
         self.on_request = on_request
         self.closed = closed
+        self.parser = httptools.HttpRequestParser(self)
         self.path = b''
         self.headers: dict[str, str] = {}
         self.body = b''
@@ -319,7 +347,7 @@
     def on_message_complete(self) -> None:
         self.on_request(
             Received(
-                'any',
+                self.parser.get_method().decode(),
                 self.path.decode(),
                 self.headers,
                 self.body,
@@ -431,13 +459,31 @@
             method, path, list(pairs.items()), body, 15.0
         )
 
+    async def call_onward(
+        self,
+        parent: Received,
+        path: str,
+        method: str = 'GET',
+        body: bytes = b'',
+        headers: dict[str, str] | None = None,
+    ) -> http_client.Answer:
+        """Call as the own upstream does while it runs parent."""
+        pairs = {
+            'godwitstall-context': parent.headers['godwitstall-context']
+        } | (headers or {})
+        return await self.onward.request(
+            method, path, list(pairs.items()), body, 15.0
+        )
+
     async def stop(self) -> None:
         """End node and upstream at once, without a planned stop."""
         self.stop_announcing()
         await self.upstream.stop()
         for listener in self.node.listeners:
             listener.server.force_exit = True
-            await listener.stop(0.0)
+        await asyncio.gather(
+            *(listener.stop(0.0) for listener in self.node.listeners)
+        )
         await self.node.peers.stop()
         self.node.forwarder.close()
         for task in self.node.tasks:
@@ -445,6 +491,52 @@
         await asyncio.gather(*self.node.tasks, return_exceptions=True)
 
 
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path,
+    text: str,
+    services: dict[str, str],
+    control: FakeControl | None = None,
+    **options: typing.Any,
+) -> collections.abc.AsyncGenerator[
+    tuple[FakeControl, list[NodeHarness]], None
+]:
+    """Run a fake control with a release note, and a node for each service.
+
+    services holds the service of each node by node id. Every node knows all
+    others when the body starts.
+    """
+    control = control or FakeControl()
+    await control.start()
+    control.apply_note(text)
+    # Without probes and a moving limit only the test decides what happens.
+    defaults = {
+        'limit_policy': settings.LimitPolicy.FIXED,
+        'probe_interval_s': 5.0,
+    }
+    nodes = [
+        NodeHarness(folder, control, node_id, service, **(defaults | options))
+        for node_id, service in services.items()
+    ]
+    try:
+        await asyncio.gather(*(node.start() for node in nodes))
+        await until(
+            lambda: all(
+                len(node.node.view.members) == len(nodes)
+                and all(
+                    member.state is messages.UpstreamState.READY
+                    for member in node.node.view.members.values()
+                )
+                for node in nodes
+            ),
+            'all nodes know each other',
+        )
+        yield control, nodes
+    finally:
+        await asyncio.gather(*(node.stop() for node in nodes))
+        await control.stop()
+
+
 def note(
     number: int,
     workspaces: dict[str, tuple[float, int]],
