Send one Host header and no look-alike of an own header to the upstream

Cause: the caller's Host header was relayed beside the node's own, and RFC 9112, section 3.2, asks servers to refuse two.

Change: Host is not relayed, and underscores count as hyphens when own headers are recognised.

Before: test_spoofed_headers failed with godwitstall_workspace and godwitstall_context at the upstream. After: it passes.

--- a/godwitstall/node/headers.py
+++ b/godwitstall/node/headers.py
@@ -30,6 +30,7 @@
         b'connection',
         b'content-length',
         b'expect',
+        b'host',
         b'keep-alive',
         b'proxy-authenticate',
         b'proxy-authorization',
@@ -48,7 +49,11 @@
     """Return whether a header of this lower-case name is passed on.
 
     The key headers are never relayed, so that no upstream sees a key.
+    Underscores count as hyphens, because CGI and WSGI upstreams cannot tell
+    the two apart and a caller could name a workspace that way.
     """
+    if b'_' in name:
+        name = name.replace(b'_', b'-')
     return name not in _NOT_RELAYED and not name.startswith(_OWN_PREFIX)
 
 
