Refuse a dot segment that is followed by a parameter

Cause: '/open/..;/orders/1' passed as a path below '/open', while some servers cut ';...' off a segment before they resolve dots, and would run '/orders/1' without a key. Change: such a segment is refused like a plain dot segment. Before: that case of test_path_tricks was answered with 200.

--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -43,8 +43,9 @@
 _ANNOUNCE_PATH = b'/announce'
 
 # Segments that an upstream could resolve to another path than the route
-# table saw: dot segments, empty segments and encoded slashes or dots.
-_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
+# table saw: dot segments, empty segments and encoded slashes or dots. Some
+# servers cut a parameter such as ';x' off a segment before they resolve it.
+_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|;|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
 
 _UUID_V7 = 7
 
