Ask for lease and key again before each retry

Cause: the entry node checked lease and key once. Ruled out: a check at the owner for each call, since its view may lag and refuse a key that was just added.

Change: Relay.send() asks is_admitted() before each retry and otherwise returns the answer of the last try.

--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -269,7 +269,21 @@
                 await self._take_token(call.workspace, deadline)
         except errors.RequestError as e:
             return dispatch.refusal(e)
-        return await self.sender.send(call, route, attempts, deadline)
+        return await self.sender.send(
+            call, route, attempts, deadline, self._is_admitted
+        )
+
+    def _is_admitted(self, call: messages.Call) -> bool:
+        """Return whether a call may be sent once more.
+
+        The first try may have taken longer than the lease, and the key may
+        have been withdrawn since.
+        """
+        if not self.session.is_fresh(clock.now()):
+            return False
+        return not call.key_id or (
+            self.view.key_by_id(call.key_id) is not None
+        )
 
     async def _take_token(
         self, workspace: messages.WorkspaceName, deadline: float
@@ -298,7 +312,9 @@
         attempts = parent.budget.allot(self._attempts(request, route))
         used = attempts
         try:
-            answer = await self.sender.send(call, route, attempts, deadline)
+            answer = await self.sender.send(
+                call, route, attempts, deadline, self._is_admitted
+            )
             used = answer.attempts_used
         finally:
             parent.budget.give_back(attempts - used)
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import collections.abc
 import typing
 
 from godwitstall import clock
@@ -65,9 +66,12 @@
         route: messages.Route,
         attempts: int,
         deadline: float,
+        is_admitted: collections.abc.Callable[[messages.Call], bool],
     ) -> messages.Answer:
         """Return the answer to a call that may cause attempts runs.
 
+        is_admitted is asked before each retry.
+
         attempts_used of the answer counts the runs of all tries; a refusal
         is an answer too. A cancellation cancels the call at its owner.
         """
@@ -93,6 +97,8 @@
             now = clock.now()
             if not is_retry_safe(answer, call) or left < 1 or now >= deadline:
                 break
+            if not is_admitted(call):
+                break
             if not budget.try_retry(now):
                 _NO_RETRY.inc(service=route.service)
                 break
