Let an owner refuse calls after its lease, and look again before a dispatch

Cause: only the entry side checked the lease, so an owner node that control no longer confirmed went on to run forwarded calls on an old state.

Change: both are checked on arrival and again just before the dispatch.

Before: in test_lost_control the forwarded call was run. After: control_lost, not run.

--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -125,12 +125,7 @@
     async def _admit(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
-        if not self.upstream.is_ready():
-            raise errors.RequestError(
-                errors.ErrorKind.UPSTREAM_UNREACHABLE,
-                'The upstream is not ready.',
-                retry_after_ms=1000,
-            )
+        self._check_ready()
         if self.options.is_pass_through:
             return await self._dispatch(call, deadline)
         if self.view.is_quarantined(call.fingerprint):
@@ -149,6 +144,16 @@
         finally:
             self.suspect_lock.release()
 
+    def _check_ready(self) -> None:
+        """Refuse work without a lease or without a ready upstream."""
+        if not self.claimer.session.is_fresh(clock.now()):
+            raise errors.RequestError(errors.ErrorKind.CONTROL_LOST)
+        if not self.upstream.is_ready():
+            raise errors.RequestError(
+                errors.ErrorKind.UPSTREAM_UNREACHABLE,
+                'The upstream is not ready.',
+            )
+
     async def _run_in_slot(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
@@ -257,12 +262,15 @@
     async def _dispatch(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
+        # Queue and claim take time, so what _admit() saw may have changed.
+        self._check_ready()
         now = clock.now()
         if now >= deadline:
             raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
-        client = self.upstream.client
-        if client is None or call.attempts < 1:
+        if call.attempts < 1:
             raise errors.RequestError(errors.ErrorKind.ATTEMPTS_USED)
+        client = self.upstream.client
+        assert client is not None
         incarnation = self.upstream.incarnation
         entry = self.contexts.open(call, deadline, now)
         _DISPATCHED.inc(service=call.service)
