--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -216,6 +216,8 @@
     method: str
     path: str
     headers: dict[str, str]
+    # Names of all headers in order, equal ones included.
+    names: list[str]
     body: bytes
     # Ends when the connection ends, for tests of cancellation.
     closed: asyncio.Event
@@ -330,15 +332,18 @@
         self.parser = httptools.HttpRequestParser(self)
         self.path = b''
         self.headers: dict[str, str] = {}
+        self.names: list[str] = []
         self.body = b''
 
     def on_message_begin(self) -> None:
         self.path, self.headers, self.body = b'', {}, b''
+        self.names = []
 
     def on_url(self, url: bytes) -> None:
         self.path += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self.names.append(name.decode().lower())
         self.headers[name.decode().lower()] = value.decode()
 
     def on_body(self, body: bytes) -> None:
@@ -350,6 +355,7 @@
                 self.parser.get_method().decode(),
                 self.path.decode(),
                 self.headers,
+                self.names,
                 self.body,
                 self.closed,
             )
