--- a/godwitstall/admin.py
+++ b/godwitstall/admin.py
@@ -37,6 +37,9 @@
             {'healthy': healthy}, status_code=200 if healthy else 503
         )
 
+    # litestar's logging set-up would close the handlers of the process.
     return litestar.Litestar(
-        [serve_metrics, serve_state, serve_health], openapi_config=None
+        [serve_metrics, serve_state, serve_health],
+        logging_config=None,
+        openapi_config=None,
     )
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -43,8 +43,9 @@
 _ANNOUNCE_PATH = b'/announce'
 
 # Segments that an upstream could resolve to another path than the route
-# table saw: dot segments, empty segments and encoded slashes or dots.
-_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
+# table saw: dot segments, empty segments and encoded slashes or dots. Some
+# servers cut a parameter such as ';x' off a segment before they resolve it.
+_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|;|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
 
 _UUID_V7 = 7
 
@@ -187,7 +188,7 @@
         finally:
             watch.stop()
             self.active -= 1
-        await self._respond(send, answer)
+        await self._respond(send, answer, scope['method'])
 
     async def _read(self, scope: Scope, receive: Receive) -> Request:
         raw_path: bytes = scope['raw_path']
@@ -268,7 +269,21 @@
                 await self._take_token(call.workspace, deadline)
         except errors.RequestError as e:
             return dispatch.refusal(e)
-        return await self.sender.send(call, route, attempts, deadline)
+        return await self.sender.send(
+            call, route, attempts, deadline, self._is_admitted
+        )
+
+    def _is_admitted(self, call: messages.Call) -> bool:
+        """Return whether a call may be sent once more.
+
+        The first try may have taken longer than the lease, and the key may
+        have been withdrawn since.
+        """
+        if not self.session.is_fresh(clock.now()):
+            return False
+        return not call.key_id or (
+            self.view.key_by_id(call.key_id) is not None
+        )
 
     async def _take_token(
         self, workspace: messages.WorkspaceName, deadline: float
@@ -297,7 +312,9 @@
         attempts = parent.budget.allot(self._attempts(request, route))
         used = attempts
         try:
-            answer = await self.sender.send(call, route, attempts, deadline)
+            answer = await self.sender.send(
+                call, route, attempts, deadline, self._is_admitted
+            )
             used = answer.attempts_used
         finally:
             parent.budget.give_back(attempts - used)
@@ -369,8 +386,10 @@
             fingerprint=fingerprint(workspace, request),
         )
 
-    async def _respond(self, send: Send, answer: messages.Answer) -> None:
-        pairs, body = response_parts(answer)
+    async def _respond(
+        self, send: Send, answer: messages.Answer, method: str
+    ) -> None:
+        pairs, body = response_parts(answer, method)
         if self.is_stopping:
             pairs.append((b'connection', b'close'))
         await send(
@@ -467,7 +486,7 @@
 
 
 def response_parts(
-    answer: messages.Answer,
+    answer: messages.Answer, method: str
 ) -> tuple[list[tuple[bytes, bytes]], bytes]:
     """Return headers and body of the HTTP response for an answer."""
     own = [
@@ -478,7 +497,8 @@
         own.append((headers.REPLAYED, b'1'))
     if answer.kind is errors.ErrorKind.NONE:
         pairs = headers.from_block(answer.headers) + own
-        if answer.status not in (204, 304):
+        # For HEAD the length is that of a body which was not sent.
+        if answer.status not in (204, 304) and method != 'HEAD':
             pairs.append((b'content-length', b'%d' % len(answer.body)))
         return pairs, answer.body
     body = json.dumps(
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -124,6 +124,8 @@
             options.max_header_bytes,
         )
         self.tasks: list[asyncio.Task[None]] = []
+        # Set by a signal, or when a task of the node has failed.
+        self.stop_wanted = asyncio.Event()
         self.view.on_change.append(self._on_view_change)
 
     @classmethod
@@ -154,9 +156,19 @@
             self.owner.run(),
             self.membership.run(),
         ):
-            self.tasks.append(asyncio.create_task(_guard(work)))
+            self.tasks.append(asyncio.create_task(self._guard(work)))
         _LOG.info('Node %s started.', self.options.node_id)
 
+    async def _guard(
+        self, work: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        """Run a task that must not end by itself."""
+        try:
+            await work
+        except Exception:
+            _LOG.exception('A task failed; the node stops.')
+            self.stop_wanted.set()
+
     async def stop(self) -> None:
         """Planned stop: no request is cut.
 
@@ -209,28 +221,16 @@
         }
 
 
-async def _guard(
-    work: collections.abc.Coroutine[None, None, None],
-) -> None:
-    """Run a task that must not end by itself."""
-    try:
-        await work
-    except Exception:
-        _LOG.exception('A task failed; the node stops.')
-        signal.raise_signal(signal.SIGTERM)
-
-
 async def run(
     options: settings.NodeOptions, fleet: settings.FleetOptions
 ) -> None:
     """Run a node until SIGTERM or SIGINT."""
     node = Node.from_config(options, fleet)
-    wanted = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, wanted.set)
+        loop.add_signal_handler(number, node.stop_wanted.set)
     await node.start()
-    await wanted.wait()
+    await node.stop_wanted.wait()
     await node.stop()
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,11 @@
 """Hypothesis profiles: fixed examples in CI, many random ones in a soak."""
 
+import collections.abc
+import logging
 import os
 
 import hypothesis
+import pytest
 
 hypothesis.settings.register_profile(
     'ci',
@@ -22,3 +25,17 @@
 hypothesis.settings.load_profile(
     'soak' if os.environ.get('GODWITSTALL_SOAK') else 'ci'
 )
+
+
+@pytest.fixture(autouse=True)
+def restore_logging() -> collections.abc.Iterator[None]:
+    """Undo logs.setup() of a test.
+
+    Its handler writes to the standard error that the test captured, which is
+    closed afterwards.
+    """
+    root = logging.getLogger('godwitstall')
+    handlers, propagate, level = root.handlers, root.propagate, root.level
+    yield
+    root.handlers, root.propagate = handlers, propagate
+    root.setLevel(level)
