Refuse the outcome of an operation whose id is expired

Cause: an expired record waits in the order behind one that expires later. A Complete still changed it, while Claim, Release and lookup treated it as gone. Ruled out: a heap by id time, only to drop the record some minutes earlier. Change: Complete checks the time in the id like the other commands. Figures: the new case fails without the change and passes with it. Conclusion: all four entry points treat an expired id the same way.

--- a/godwitstall/operations/records.py
+++ b/godwitstall/operations/records.py
@@ -48,7 +48,6 @@
 }
 
 _IsMember = collections.abc.Callable[[messages.NodeId, int], bool]
-_Ended = messages.Complete | messages.Release
 
 
 def time_of(operation_id: str) -> int | None:
@@ -163,8 +162,11 @@
     ) -> messages.CommandResult:
         """Record the outcome of the attempt that holds the claim."""
         self.expire(time_ms)
-        record = self._find_for(command)
-        if record is None:
+        operation_id = messages.OperationId(command.operation_id.lower())
+        id_ms = time_of(operation_id)
+        record = self._find(command.workspace, operation_id)
+        # An expired record may still wait behind one that expires later.
+        if record is None or id_ms is None or self._is_expired(id_ms):
             return _refuse('There is no record of the operation.')
         if record.attempt_id != command.attempt_id:
             return _refuse('Another attempt holds the operation.')
@@ -259,10 +261,6 @@
         records = self.records.get(workspace)
         return None if records is None else records.get(operation_id)
 
-    def _find_for(self, command: _Ended) -> messages.OperationRecord | None:
-        operation_id = messages.OperationId(command.operation_id.lower())
-        return self._find(command.workspace, operation_id)
-
     def _add(
         self,
         workspace: messages.WorkspaceName,
--- a/tests/operations/test_records.py
+++ b/tests/operations/test_records.py
@@ -96,6 +96,12 @@
         (_B, _V.DONE, _LATE - 1),
         (_end('A', _OUT.RUN), False, _LATE),
     ],
+    'expired behind a record that expires later': [
+        (_claim('Z', _id_at(_T0 + _AHEAD)), _V.GRANTED),
+        (_A, _V.GRANTED),
+        (_end('A', _OUT.RUN), False, _LATE),
+        (_B, _V.EXPIRED, _LATE),
+    ],
     'other request': [
         (_A, _V.GRANTED),
         (_claim('B', digest=b'e'), _V.MISMATCH),
