--- a/godwitstall/rates/ledger.py
+++ b/godwitstall/rates/ledger.py
@@ -70,7 +70,7 @@
     )
     # Sum of the batches.
     outstanding: int = 0
-    # Time of the last request, seconds.
+    # Time of the last request that asked for tokens, seconds.
     asked_at: float = -math.inf
     # Tokens that calls waited for in vain in the last request, when the
     # holder was not above the mean.
@@ -169,7 +169,7 @@
         self.advance(now)
         holder = self.holders.get(key)
         if holder is None:
-            holder = self.holders[key] = _Holder(share_at=now)
+            holder = self.holders[key] = _Holder(asked_at=now, share_at=now)
             self.active += 1
             self.requests.append((now, key, holder))
         if want.number <= holder.number:
@@ -177,13 +177,16 @@
         holder.number = want.number
         self._settle(holder, want)
         self.cap(now)
-        holder.asked_at = now
+        if want.wanted:
+            holder.asked_at = now
         self._decay(holder, now)
         waiting = min(want.waiting, want.wanted)
         is_above = holder.share * self.active > self.share + _ROUNDING
         tokens = min(waiting, self._grantable(holder, is_above))
         unmet = waiting - tokens
-        self._set_unmet(holder, 0 if is_above else unmet)
+        if waiting:
+            # A report without a want keeps the claim of the refused call.
+            self._set_unmet(holder, 0 if is_above else unmet)
         if tokens == waiting:
             ahead = self._grantable_ahead(holder, tokens)
             tokens += min(max(ahead, 0), want.wanted - waiting)
