--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -151,3 +151,46 @@
     result = rate_trial.run(trial)
     assert result.wrongful <= result.calls * 0.001
     assert result.naive_wrongful > result.calls * 0.1
+
+
+def test_stale_request_is_dropped() -> None:
+    """Guards against R4: a late request hides tokens that are out."""
+    leader = _ledger(100, 20)
+    assert _ask(leader, 'n1', 2, 10, 0.0).tokens == 10
+    late = messages.Want(_NAME, 0, 1, 1, 0, 1)
+    assert leader.grant('n1', 1, [late], 0.5) == []
+    assert leader.dump(0.5)[_NAME]['outstanding'] == 10
+    assert leader.dump(0.5)[_NAME]['level'] == 10
+
+
+def test_leader_changes_within_a_lifetime() -> None:
+    """Guards against R4: more than the burst out over several leaders."""
+    leader = _ledger(20, 20)
+    out = _ask(leader, 'n1', 1, 20, 0.0).tokens
+    assert out == 10
+    for start, node in ((0.0, 'n2'), (0.45, 'n3')):
+        leader.start_term(start)
+        out += _ask(leader, node, 1, 20, start + 0.45).tokens
+    assert 10 < out <= 20
+
+
+def test_reply_after_loss_is_not_used() -> None:
+    """Guards against R4: tokens that the next request does not report."""
+
+    async def run() -> None:
+        tokens = allowance.Allowance(1.0, 5.0)
+        now = clock.now()
+        call = asyncio.create_task(tokens.take(_NAME, now + 9))
+        await asyncio.sleep(0)
+        first = tokens.next_wants(now)
+        tokens.on_lost()
+        second = tokens.next_wants(now)
+        grants = [messages.Grant(_NAME, 5)]
+        tokens.on_reply(now, first, grants, now)
+        assert not call.done() and not tokens.try_take(_NAME, now)
+        tokens.on_reply(now, second, grants, now)
+        await call
+        tokens.on_reply(now, second, grants, now)
+        assert sum(tokens.try_take(_NAME, now) for _ in range(20)) == 4
+
+    asyncio.run(run())
