consensus: Guard each mechanism by a test that fails without it

Cause: removing single mechanisms in a scratch copy showed two rules without a guard: unanimity for a new fleet, and no vote of a replaced disk for one. Ruled out: nothing.

--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -102,7 +102,7 @@
             try:
                 has_more = await self._replicate(link)
             except errors.ControlError as e:
-                _LOG.warning('Replica %s refused: %s', self.slot, e)
+                _LOG.debug('Replica %s refused: %s', self.slot, e)
         if not has_more:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(interval_s):
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -98,6 +98,7 @@
         )
         # Error that ended this replica; the process should stop.
         self.failure: BaseException | None = None
+        self._failed = asyncio.Event()
         self.log = logmodule.Log(storage.LogFiles(self.folder))
         self.log.on_durable = self.on_ack
         self.voters = voters.VoterHistory()
@@ -210,10 +211,16 @@
         if self.failure is None:
             _LOG.error('The replica ends: %s', failure, exc_info=failure)
             self.failure = failure
+            self._failed.set()
             self._step_down()
             for task in self._tasks:
                 task.cancel()
 
+    async def wait_failed(self) -> BaseException:
+        """Wait until this replica ends by an error, and return the error."""
+        await self._failed.wait()
+        return typing.cast(BaseException, self.failure)
+
     async def stop(self) -> None:
         """Hand leadership over when leading, then end all tasks."""
         if self.is_leader and len(self.voters.current) > 1:
@@ -710,7 +717,7 @@
         else:
             try:
                 reply = await self._answer(message, peer)
-            except (errors.StorageError, OSError) as e:
+            except Exception as e:
                 self._fail(e)
                 reply = messages.Error(
                     message.seq, errors.ErrorKind.INTERNAL, str(e)
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -3,11 +3,14 @@
 import asyncio
 import collections.abc
 import contextlib
+import json
 import pathlib
 import typing
 
 import pytest
 
+from godwitstall import clock
+from godwitstall.consensus import replica as replicas
 from godwitstall.consensus import storage
 from godwitstall import errors
 from godwitstall import link
@@ -41,9 +44,22 @@
         *(leader.replica.propose(c, fleets.WAIT_S) for c in _COMMANDS)
     )
     assert [r[1] for r in results] == [b'did ' + c for c in _COMMANDS]
-    await fleet.agree(*_COMMANDS)
     index = await leader.replica.read_barrier(fleets.WAIT_S)
     assert index >= results[-1][0]
+    for member in fleet.members.values():
+        # What was acknowledged before the barrier is applied after the wait.
+        await member.replica.wait_applied(index, fleets.WAIT_S)
+        assert member.machine.commands == _COMMANDS
+        to_leader = member.replica.leader_link()
+        assert (to_leader is None) == (member is leader)
+        assert to_leader is None or to_leader.peer_id == leader.slot
+        assert json.loads(json.dumps(member.replica.dump()))['failure'] is None
+
+
+async def _elections_pass(replica: replicas.Replica) -> None:
+    """Wait while a replica stands for election several times."""
+    later = clock.now() + 1.0
+    await fleets.until(lambda: replica.election.deadline > later)
 
 
 @_scenario(1)
@@ -61,6 +77,22 @@
     assert sum(m.replica.is_leader for m in fleet.members.values()) == 1
 
 
+@_scenario()
+async def new_fleet_needs_all(fleet: fleets.Fleet) -> None:
+    """Guards against a second fleet made by initial disks that were wiped.
+
+    A majority of empty initial disks does not prove that the others are
+    empty as well.
+    """
+    await fleet.start(*fleet.slots[:2])
+    first = fleet.members[fleet.slots[0]].replica
+    await _elections_pass(first)
+    assert not first.is_leader and not first.voters.current
+    await fleet.start(fleet.slots[2])
+    await fleet.propose(b'x')
+    await fleet.agree(b'x')
+
+
 @_scenario()
 async def kill_each(fleet: fleets.Fleet) -> None:
     """Guards against lost entries when each replica is killed in turn."""
@@ -99,7 +131,8 @@
     leader = await fleet.leader()
     late = fleet.others(leader.slot)[0]
     await fleet.end(late)
-    commands = [b'%d' % i for i in range(400)]
+    # Long enough for a snapshot of several chunks.
+    commands = [b'%d ' % i + b'x' * 2000 for i in range(400)]
     for start in range(0, 400, 20):
         await asyncio.gather(
             *(
@@ -177,13 +210,7 @@
     cut_off = fleet.others(leader.slot)[0]
     term = leader.replica.term
     fleet.cut(cut_off)
-    election = fleet.members[cut_off].replica.election
-    deadline = election.deadline
-    # Three elections that it started in vain.
-    for _ in range(3):
-        await fleets.until(lambda: election.deadline != deadline)
-        deadline = election.deadline
-    await fleets.until(lambda: election.deadline > election.heard_at + 1)
+    await _elections_pass(fleet.members[cut_off].replica)
     fleet.cuts.clear()
     await fleet.propose(b'after')
     await fleet.agree(b'before', b'after')
@@ -232,13 +259,7 @@
     empty = fleet.members[lost].replica
     remaining = fleet.members[behind].replica
     await fleets.until(lambda: remaining.peers[lost].link is not None)
-    deadlines = set()
-    for _ in range(5):
-        deadline = remaining.election.deadline
-        deadlines.add(deadline)
-        await fleets.until(
-            lambda d=deadline: remaining.election.deadline != d  # type: ignore
-        )
+    await _elections_pass(remaining)
     assert not empty.is_leader and not remaining.is_leader
     await fleet.start(leader.slot)
     await fleet.propose(b'after')
@@ -295,6 +316,37 @@
     await fleet.agree(b'before', b'after')
 
 
+@_scenario(5)
+async def two_candidates(fleet: fleets.Fleet) -> None:
+    """Guards against two leaders of one term, and an election without end."""
+    await fleet.start()
+    await fleet.propose(b'before')
+    leader = await fleet.leader()
+    await fleet.end(leader.slot)
+    led: list[int] = []
+    for member in fleet.members.values():
+        replica = member.replica
+
+        def lead(
+            grants: dict[messages.SlotId, messages.DiskId],
+            replica: replicas.Replica = replica,
+        ) -> None:
+            led.append(replica.term)
+            replicas.Replica.lead(replica, grants)
+
+        replica.lead = lead  # type: ignore[method-assign]
+    for _ in range(5):
+        await asyncio.gather(
+            *(
+                member.replica.election.stand(is_transfer=True)
+                for member in list(fleet.members.values())[:2]
+            )
+        )
+    await fleet.propose(b'after')
+    await fleet.agree(b'before', b'after')
+    assert len(led) == len(set(led)) > 0
+
+
 @_scenario()
 async def voter_changes_are_checked(fleet: fleets.Fleet) -> None:
     """Guards against two changes at once and voters that are not ready."""
@@ -436,6 +488,41 @@
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
 
+def test_entry_of_a_former_term_is_not_committed_alone(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against committing an entry that a later leader may cut."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        member = await _quiet_member(fleet)
+        replica = member.replica
+        entries = [messages.Entry(i, 1, 1, b'x') for i in (1, 2)]
+        await _ask(
+            member,
+            messages.AppendRequest(
+                term=1, slot=messages.SlotId('c2'), entries=entries
+            ),
+        )
+        disk = replica.disk.disk_id
+        disks = {slot: messages.DiskId(slot) for slot in fleet.slots}
+        disks[member.slot] = disk
+        replica.voters.reset(
+            0, [messages.Voter(slot, each) for slot, each in disks.items()]
+        )
+        replica.observe_term(4)
+        replica.lead(disks)
+        await replica.log.sync()
+        peer = replica.peers[fleet.slots[1]]
+        peer.disk_id = disks[peer.slot]
+        for match_index, commit_index in ((2, 0), (3, 3)):
+            peer.match_index = match_index
+            replica.on_ack()
+            assert replica.commit_index == commit_index
+
+    options = {'election_min_s': 60.0, 'election_max_s': 61.0}
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3, **options))
+
+
 _REFUSED: dict[str, dict[str, typing.Any]] = {
     'older term': {'term': 3},
     'shorter log': {'last_index': 1},
@@ -473,6 +560,22 @@
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
 
+@pytest.mark.parametrize('is_initial', [True, False])
+def test_vote_for_a_new_fleet(
+    tmp_path: pathlib.Path, is_initial: bool
+) -> None:
+    """Guards against a new fleet made with the help of a replaced disk."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        fleet.format(fleet.slots[0], is_initial)
+        member = await _quiet_member(fleet)
+        request = _vote_request('c2', last_index=0, last_term=0)
+        reply = await _ask(member, request)
+        assert reply.is_granted == is_initial
+
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3))
+
+
 def test_restart_gives_no_vote_at_once(tmp_path: pathlib.Path) -> None:
     """Guards against a leader lease broken by a restarted follower."""
 
@@ -530,6 +633,24 @@
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
 
+def test_time_never_decreases(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against records that expire early by a clock set back."""
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        await fleet.start()
+        for wall_ms in (5000, 4000, 6000):
+            monkeypatch.setattr(clock, 'wall_ms', lambda ms=wall_ms: ms)
+            await fleet.propose(b'%d' % wall_ms)
+        leader = await fleet.leader()
+        times = [e.time_ms for e in leader.replica.log.entries]
+        assert times[-3:] == [5000, 5000, 6000]
+
+    monkeypatch.setattr(clock, 'wall_ms', lambda: 1)
+    fleets.run(scenario, fleets.Fleet(tmp_path, 1))
+
+
 def test_disk_failure_ends_the_replica(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
@@ -545,7 +666,9 @@
         with contextlib.suppress(errors.ControlError):
             await leader.replica.propose(b'lost', fleets.WAIT_S)
             pytest.fail('acknowledged')
-        assert leader.replica.failure is not None
+        assert isinstance(
+            await leader.replica.wait_failed(), errors.StorageError
+        )
         assert not leader.replica.is_leader
 
     fleets.run(scenario, fleets.Fleet(tmp_path, 1))
