--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -309,7 +309,15 @@
         # Only the leader's request can start an election now.
         each.deadline += 3600
         each.defer = lambda: None  # type: ignore[method-assign]
-    await fleet.end(leader.slot, planned=True)
+    await fleets.until(leader.replica.holds_lease)
+    stopping = asyncio.create_task(fleet.end(leader.slot, planned=True))
+    await asyncio.sleep(0)
+    # The next leader need not wait for the end of the lease.
+    assert leader.replica.is_leader and not leader.replica.holds_lease()
+    with pytest.raises(errors.ControlError) as caught:
+        await leader.replica.propose(b'late', 1.0)
+    assert caught.value.kind is _KIND.NOT_LEADER
+    await stopping
     assert leader.roles == [True, False]
     await fleet.leader(*followers)
     await fleet.propose(b'after')
@@ -633,6 +641,37 @@
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
 
+def test_snapshot_chunks(tmp_path: pathlib.Path) -> None:
+    """Guards against a snapshot put together from lost or bad chunks."""
+
+    # Offset, data, last chunk, offset wanted next.
+    steps = [
+        (0, b'abcd', False, 4),
+        (8, b'ijkl', False, 4),
+        (4, b'efgh', False, 8),
+        (0, b'abcd', False, 4),
+        (4, b'no checksum', True, 0),
+    ]
+
+    async def scenario(fleet: fleets.Fleet) -> None:
+        member = await _quiet_member(fleet)
+        for offset, data, is_last, wanted in steps:
+            chunk = messages.SnapshotChunk(
+                term=1,
+                slot=messages.SlotId('c2'),
+                last_index=9,
+                last_term=1,
+                offset=offset,
+                is_last=is_last,
+                data=data,
+            )
+            reply = await _ask(member, chunk)
+            assert reply.next_offset == wanted
+        assert member.replica.commit_index == 0
+
+    fleets.run(scenario, fleets.Fleet(tmp_path, 3))
+
+
 def test_time_never_decreases(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
