consensus: Refuse commands that no append request can carry

Cause: a command near the frame limit makes an append request above it; the peer closes the link and replication stops at that entry. Ruled out: splitting a command over several requests; no command needs it. Change: propose() refuses commands above half a frame (8 MiB).

--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -35,6 +35,10 @@
 # Entries applied before the event loop may do other work.
 _APPLY_BATCH = 256
 
+# A larger command could make an append request that no peer reads, and
+# replication would stop at it.
+MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
+
 format_disk = storage.format_disk
 
 
@@ -391,8 +395,11 @@
         """Log a command and return its index and result once applied.
 
         Errors: ControlError of kind NOT_LEADER when the command surely is
-        not logged, CONTROL_LOST when that is not known.
+        not logged, CONTROL_LOST when that is not known, BODY_TOO_LARGE when
+        it is larger than MAX_COMMAND_BYTES.
         """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise errors.ControlError(errors.ErrorKind.BODY_TOO_LARGE)
         if not self.is_leader or self._is_handing_over:
             raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
         change = voters.parse_change(command)
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -77,6 +77,19 @@
     assert sum(m.replica.is_leader for m in fleet.members.values()) == 1
 
 
+@_scenario(election_min_s=1.0, election_max_s=2.0, leader_lease_s=0.8)
+async def large_commands(fleet: fleets.Fleet) -> None:
+    """Guards against a command that stops replication by its size."""
+    await fleet.start()
+    leader = await fleet.leader()
+    largest = bytes(replicas.MAX_COMMAND_BYTES)
+    with pytest.raises(errors.ControlError) as caught:
+        await leader.replica.propose(largest + b'x', 1.0)
+    assert caught.value.kind is _KIND.BODY_TOO_LARGE
+    await fleet.propose(largest, b'after')
+    await fleet.agree(largest, b'after')
+
+
 @_scenario()
 async def new_fleet_needs_all(fleet: fleets.Fleet) -> None:
     """Guards against a second fleet made by initial disks that were wiped.
