--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -35,6 +35,10 @@
 # Entries applied before the event loop may do other work.
 _APPLY_BATCH = 256
 
+# A larger command could make an append request that no peer reads, and
+# replication would stop at it.
+MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
+
 format_disk = storage.format_disk
 
 
@@ -98,6 +102,7 @@
         )
         # Error that ended this replica; the process should stop.
         self.failure: BaseException | None = None
+        self._failed = asyncio.Event()
         self.log = logmodule.Log(storage.LogFiles(self.folder))
         self.log.on_durable = self.on_ack
         self.voters = voters.VoterHistory()
@@ -210,10 +215,16 @@
         if self.failure is None:
             _LOG.error('The replica ends: %s', failure, exc_info=failure)
             self.failure = failure
+            self._failed.set()
             self._step_down()
             for task in self._tasks:
                 task.cancel()
 
+    async def wait_failed(self) -> BaseException:
+        """Wait until this replica ends by an error, and return the error."""
+        await self._failed.wait()
+        return typing.cast(BaseException, self.failure)
+
     async def stop(self) -> None:
         """Hand leadership over when leading, then end all tasks."""
         if self.is_leader and len(self.voters.current) > 1:
@@ -384,8 +395,11 @@
         """Log a command and return its index and result once applied.
 
         Errors: ControlError of kind NOT_LEADER when the command surely is
-        not logged, CONTROL_LOST when that is not known.
+        not logged, CONTROL_LOST when that is not known, BODY_TOO_LARGE when
+        it is larger than MAX_COMMAND_BYTES.
         """
+        if len(command) > MAX_COMMAND_BYTES:
+            raise errors.ControlError(errors.ErrorKind.BODY_TOO_LARGE)
         if not self.is_leader or self._is_handing_over:
             raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
         change = voters.parse_change(command)
@@ -710,7 +724,7 @@
         else:
             try:
                 reply = await self._answer(message, peer)
-            except (errors.StorageError, OSError) as e:
+            except Exception as e:
                 self._fail(e)
                 reply = messages.Error(
                     message.seq, errors.ErrorKind.INTERNAL, str(e)
