Test a reflected proof and a refusal behind a waiting request

Cause: trials that broke the code on purpose showed two guards without a test: the side in the proof of a handshake, and the look at waiting requests before a refusal is written.

Ruled out: nothing; both tests fail when their guard is taken out.

Change: one test of links, one more case of the HTTP listener.

Conclusion: both guards are covered now.

--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -273,7 +273,13 @@
 
 
 @pytest.mark.parametrize(
-    'second', [_MALFORMED['garbage'], _OVERSIZED['one value']]
+    'second',
+    [
+        _MALFORMED['garbage'],
+        _OVERSIZED['one value'],
+        # Its headers are sound, so it waits behind the first one.
+        _MALFORMED['wrong chunk'],
+    ],
 )
 def test_refusal_behind_a_running_request(second: bytes) -> None:
     """Guards against 'not run' that answers a request which is running.
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -152,6 +152,29 @@
     _run(test)
 
 
+def test_reflected_proof() -> None:
+    """Guards against a stranger that lets a process prove for it.
+
+    It connects under the name of the process itself and gives the challenge
+    that it got back as its own on a second connection.
+    """
+
+    async def test(server: _Server) -> None:
+        first = links.Link(*await _raw(server))
+        first.send(messages.Hello(messages.Role.CONTROL, 'server', b'n' * 16))
+        challenge = await first.receive()
+        assert isinstance(challenge, messages.HelloReply)
+        second = links.Link(*await _raw(server))
+        second.send(messages.Hello(messages.Role.NODE, 'n1', challenge.nonce))
+        reply = await second.receive()
+        assert isinstance(reply, messages.HelloReply)
+        first.send(messages.HelloProof(reply.proof))
+        assert await server.next_kind() is errors.ErrorKind.NOT_ADMITTED
+        second.close()
+
+    _run(test)
+
+
 @pytest.mark.parametrize(
     ('data', 'kind'),
     [
