--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -14,6 +14,7 @@
 import contextlib
 import http
 import json
+import os
 import typing
 
 import uvicorn
@@ -231,10 +232,14 @@
         try:
             await self.server.serve()
         except SystemExit as e:
-            # uvicorn ends the process when the address is taken.
+            # uvicorn ends the process when the address cannot be used.
+            cause = e.__context__
+            text = 'cause unknown'
+            if isinstance(cause, OSError) and cause.errno:
+                text = os.strerror(cause.errno)
             raise OSError(
                 f'Cannot listen on {self.server.config.host}:'
-                f'{self.server.config.port}.'
+                f'{self.server.config.port}: {text}.'
             ) from e
 
     async def stop(self, timeout_s: float) -> None:
--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -416,7 +416,10 @@
         port = server.sockets[0].getsockname()[1]
         async with server:
             listener = http_server.HttpServer(_App(), f'127.0.0.1:{port}')
-            with pytest.raises(OSError, match=f'127.0.0.1:{port}'):
+            with pytest.raises(OSError) as caught:
                 await listener.start()
+        assert str(caught.value) == (
+            f'Cannot listen on 127.0.0.1:{port}: Address already in use.'
+        )
 
     asyncio.run(main())
