--- a/godwitstall/configuration/note.py
+++ b/godwitstall/configuration/note.py
@@ -260,7 +260,7 @@
     except KeyError:
         note.problems.append('number: is missing')
     except ValueError as e:
-        note.problems.append(f'number: {e}; write it without quotes')
+        note.problems.append(f'number: {e}')
     for name, table in tables.items():
         if name not in _TABLES:
             note.problems.append(f'{_key(name)}: unknown key')
--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -96,8 +96,10 @@
         result: messages.Message
         try:
             result = self._apply(index, time_ms, messages.decode(command))
-        except errors.LinkError as e:
-            result = messages.CommandResult(detail=e.detail)
+        except errors.LinkError:
+            # The text of the codec holds memory addresses, which differ
+            # between replicas.
+            result = messages.CommandResult(detail='Bytes are no command.')
         self.applied_index = index
         encoded = messages.encode(result)
         if self._is_changed:
--- a/standin/app.py
+++ b/standin/app.py
@@ -75,7 +75,7 @@
     ) -> None:
         self.options = options
         self.incarnation = incarnation
-        self.behaviour = behaviours.Behaviour()
+        self.behaviour = dataclasses.replace(options.behaviour)
         self.oracle = oracles.Oracle(options.runs_file, options.max_runs)
         self.slots = slot_pools.Slots(options.slots, options.max_queue)
         # Drives service times, error rates and fault shares.
@@ -300,6 +300,8 @@
         if ends_at is None:
             ends_at = loop.time() + self.options.onward_deadline_ms / 1000
         for call in self.options.onward:
+            if not request.path.startswith(call.for_prefix):
+                continue
             for place in range(call.count):
                 # The query makes each onward request differ from all others.
                 path = f'{call.path}?from={request.digest[:16]}-{place}'
--- a/standin/program.py
+++ b/standin/program.py
@@ -38,6 +38,9 @@
 _ONWARD = flags.DEFINE_multi_string(
     'onward', [], 'Onward calls, "PATH" or "PATH*COUNT".'
 )
+_BEHAVIOUR = flags.DEFINE_string(
+    'behaviour', None, 'Behaviour at the start, a JSON object.'
+)
 _DEFINE = {
     str: flags.DEFINE_string,
     int: flags.DEFINE_integer,
@@ -59,7 +62,7 @@
         self.options = options
         # The start time rises with each start, also without a disk.
         self.standin = app.Standin(options, incarnation=clock.wall_ms())
-        self.server = http_server.HttpServer(self.standin, options.address)
+        self.server = http_server.HttpServer({options.address: self.standin})
         self.announcer = (
             http_client.Client(options.node_address, max_connections=1)
             if options.node_address
@@ -141,8 +144,15 @@
     }
     if _ONWARD.value:
         table['onward'] = [_read_onward(text) for text in _ONWARD.value]
+    if _BEHAVIOUR.value:
+        try:
+            table['behaviour'] = json.loads(_BEHAVIOUR.value)
+        except ValueError as e:
+            raise errors.SettingsError(
+                [f'flags: behaviour: is no JSON: {e}']
+            ) from e
     if not _SETTINGS.value:
-        return tables.fill(standin_options.StandinOptions, table, 'flags')
+        return tables.fill(standin_options.StandinOptions, table, 'flags: ')
     options = tables.load(
         pathlib.Path(_SETTINGS.value),
         'standin',
--- a/tests/ctl/test_usage.py
+++ b/tests/ctl/test_usage.py
@@ -1,6 +1,7 @@
 """Command lines of the programs: help, usage errors and exit codes."""
 
 import collections.abc
+import logging
 import pathlib
 import sys
 import types
@@ -20,8 +21,23 @@
 _Main = collections.abc.Callable[..., tuple[int, str, str]]
 
 
+@pytest.fixture
+def _kept_logging() -> collections.abc.Iterator[None]:
+    """Undo the logging set-up of a program after the test.
+
+    Its handler writes to a stream that is closed then, and other tests read
+    the log through the root logger.
+    """
+    logger = logging.getLogger('godwitstall')
+    kept = logger.handlers, logger.propagate, logger.level
+    yield
+    logger.handlers, logger.propagate, _ = kept
+    logger.setLevel(kept[2])
+
+
 @pytest.fixture
 def main(
+    _kept_logging: None,
     monkeypatch: pytest.MonkeyPatch,
     capsys: pytest.CaptureFixture[str],
     tmp_path: pathlib.Path,
