Use the usual terms in tests and messages

Cause: some names and texts of the new tests were figurative. Change: words only, apart from a bound on two loops that wait for a process or a request, so that a failure cannot hang the suite.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -5,7 +5,7 @@
 process is stopped at the end, also after a failure.
 
 Run it as: python -m bench.demo
-Exit codes: 0 everything went as told, 1 something else happened.
+Exit codes: 0 every step went as expected, 1 otherwise.
 """
 
 import asyncio
@@ -66,7 +66,7 @@
 
 
 class DemoError(Exception):
-    """The demo did not go as told; the text says what happened."""
+    """A step did not go as expected; the text says what happened."""
 
 
 @dataclasses.dataclass
--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -115,7 +115,7 @@
 async def check_note(client: client_module.ControlClient, path: str) -> Result:
     """Check a note against the configuration in force; changes nothing.
 
-    A note that is wrong in itself is told without asking control. Another
+    A note that is wrong in itself is reported without asking control. Another
     note may come first, so a check is no promise.
     """
     text = _read(path)
@@ -134,7 +134,7 @@
 
 
 async def apply_note(client: client_module.ControlClient, path: str) -> Result:
-    """Put a note in force and tell what became of it."""
+    """Put a note in force and report the verdict."""
     text = _read(path)
     parsed = notes.parse(text)
     if parsed.problems:
@@ -306,7 +306,7 @@
         raise CommandError('Control gave an unexpected reply.')
     word = 'gets no new work' if is_drained else 'gets work again'
     if result.is_accepted:
-        # The detail tells that the node is no member, for example because
+        # The detail says that the node is no member, for example because
         # its name was misspelt.
         text = f'The upstream of {node} {word}. {result.detail}'
         return Result(text.rstrip())
--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -134,7 +134,7 @@
     def data_received(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
-        # The parser tells of a header line only at its end, and a line
+        # The parser reports a header line only at its end, and a line
         # without an end must not fill the memory.
         self.unparsed_bytes += len(data)
         super().data_received(data)
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -238,7 +238,7 @@
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of 'host:port'.
 
-    An IP number of version 6 stands in brackets in an address, but sockets
+    An IPv6 address stands in brackets before its port, but sockets
     take it without them.
     """
     host, _, port = address.rpartition(':')
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -354,7 +354,7 @@
         raise ValueError(f'must be an IP number and a port, not {value!r}')
     if not is_bracketed and number.version == 6:
         raise ValueError(
-            f'needs brackets around an IP number of version 6, not {value!r}'
+            f'needs brackets around an IPv6 address, not {value!r}'
         )
     if not port.isdecimal() or not 1 <= int(port) <= 65_535:
         raise ValueError(f'has no port from 1 to 65535: {value!r}')
--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -1,4 +1,4 @@
-"""The HTTP listener: what is no sound request must end with a true answer."""
+"""The HTTP listener: an invalid request must end in a true answer."""
 
 import asyncio
 import collections.abc
@@ -153,7 +153,7 @@
     'with a body': b'POST / HTTP/1.1\r\ncontent-length: 4\r\nbig: '
     + _BIG
     + b'\r\n\r\nbody',
-    # The parser tells of a header when the next one starts.
+    # The parser reports a header when the next one starts.
     'unfinished headers': b'GET / HTTP/1.1\r\n'
     + b''.join(b'h%d: %s\r\n' % (i, _FILLER) for i in range(6)),
 }
@@ -177,7 +177,7 @@
 def test_header_without_end() -> None:
     """Guards against one header line without an end that fills the memory.
 
-    The parser tells of a header only when its line has ended.
+    The parser reports a header only when its line has ended.
     """
     app = _App()
 
@@ -205,7 +205,7 @@
 
 
 def test_headers_at_the_bound() -> None:
-    """Guards against a bound that sound requests meet.
+    """Guards against a bound that valid requests exceed.
 
     The bound holds for each request, not for the connection, and for the
     headers, not for a body that comes with them.
@@ -280,7 +280,7 @@
     [
         _MALFORMED['garbage'],
         _OVERSIZED['one value'],
-        # Its headers are sound, so it waits behind the first one.
+        # Its headers are valid, so it waits behind the first one.
         _MALFORMED['wrong chunk'],
     ],
 )
@@ -296,8 +296,9 @@
         app.may_answer.clear()
         connection = await connect()
         connection.write(b'POST / HTTP/1.1\r\ncontent-length: 1\r\n\r\na')
-        while not app.bodies:
-            await asyncio.sleep(0)
+        async with asyncio.timeout(_HANG_S):
+            while not app.bodies:
+                await asyncio.sleep(0)
         connection.write(second)
         assert await connection.answer() is None
         app.may_answer.set()
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -1,4 +1,4 @@
-"""Links between processes: strangers, garbage, and peers that misbehave."""
+"""Links between processes: unauthenticated peers, garbage, and slow peers."""
 
 import asyncio
 import collections.abc
@@ -126,7 +126,7 @@
 
 @pytest.mark.parametrize('proof', [b'', b'x' * 32, 'echo', 'other name'])
 def test_wrong_proof(proof: bytes | str) -> None:
-    """Guards against a stranger that does not check the server itself.
+    """Guards against a peer without the secret that goes on regardless.
 
     It could send the server's own proof back, or use a proof under another
     name than the one it was made for.
@@ -153,7 +153,7 @@
 
 
 def test_reflected_proof() -> None:
-    """Guards against a stranger that lets a process prove for it.
+    """Guards against a proof that is reused by a peer without the secret.
 
     It connects under the name of the process itself and gives the challenge
     that it got back as its own on a second connection.
@@ -198,7 +198,7 @@
 def test_garbage_before_the_handshake(
     data: bytes, kind: errors.ErrorKind
 ) -> None:
-    """Guards against a stranger that crashes a process or fills its memory."""
+    """Guards against a peer without the secret that fills the memory."""
 
     async def test(server: _Server) -> None:
         reader, writer = await _raw(server)
@@ -215,7 +215,7 @@
 
 
 @pytest.mark.parametrize('data', [b'', b'\0', b'\0\0\0\x10half'])
-def test_stranger_that_closes(data: bytes) -> None:
+def test_peer_that_closes(data: bytes) -> None:
     """Guards against a handshake that waits for a peer that has gone."""
 
     async def test(server: _Server) -> None:
@@ -227,7 +227,7 @@
     _run(test)
 
 
-def test_silent_stranger(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_silent_peer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against connections that stay open without a handshake."""
     monkeypatch.setattr(links, 'HANDSHAKE_TIMEOUT_S', 0.01)
 
@@ -255,7 +255,7 @@
         (b'', errors.ErrorKind.PEER_LOST),
     ],
 )
-def test_connecting_to_a_stranger(
+def test_connecting_to_another_server(
     answer: bytes, kind: errors.ErrorKind
 ) -> None:
     """Guards against a process that trusts whoever listens at an address."""
@@ -338,7 +338,7 @@
 
 
 def test_large_frame() -> None:
-    """Guards against a bound that sound messages meet."""
+    """Guards against a bound that valid messages exceed."""
 
     async def test(server: _Server) -> None:
         near, far = await _pair(server)
--- a/tests/bench/test_demo.py
+++ b/tests/bench/test_demo.py
@@ -15,6 +15,9 @@
 from bench import fleet as fleets
 from loadtool import report as reports
 
+# Longest wait before a test gives up on a hang, seconds.
+_HANG_S = 10.0
+
 _SLEEP = 'import time; time.sleep(600)'
 _FAIL = 'import sys; sys.exit("no such address")'
 
@@ -75,8 +78,9 @@
                 await fleet.stop()
 
         task = asyncio.create_task(show())
-        while len(fleet.processes) < 2:
-            await asyncio.sleep(0)
+        async with asyncio.timeout(_HANG_S):
+            while len(fleet.processes) < 2:
+                await asyncio.sleep(0)
         assert all(_is_alive(pid) for pid in fleet.pids())
         task.cancel()
         with pytest.raises(asyncio.CancelledError):
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -1,7 +1,7 @@
 """Fake control: replicas in the test process that speak the link protocol.
 
 All replicas share one state machine and log at once, so there is no
-consensus. Each one can be told to lose replies or to refuse.
+consensus. Replies can be lost and requests refused on purpose.
 
 Example:
     async with FakeControl(('c1', 'c2', 'c3')) as control:
--- a/tests/ctl/test_commands.py
+++ b/tests/ctl/test_commands.py
@@ -92,7 +92,7 @@
 
 
 def test_note(run: _Run, tmp_path: pathlib.Path) -> None:
-    """Guards against a verdict that is told as another one."""
+    """Guards against a verdict that is reported as another one."""
     first = _write_note(tmp_path, 1, 'a')
     other = _write_note(tmp_path, 1, 'b')
     second = _write_note(tmp_path, 2, 'b')
@@ -153,7 +153,7 @@
 
 
 def test_invalid_note_of_control(run: _Run, tmp_path: pathlib.Path) -> None:
-    """Guards against a refusal by control that is told as success."""
+    """Guards against a refusal by control that is reported as success."""
     path = tmp_path / 'note.toml'
     path.write_text("number = 1\n[withdrawn]\nkeys = ['k', 'l']\n")
 
@@ -229,7 +229,7 @@
 
 
 def test_wrong_secret(run: _Run) -> None:
-    """Guards against a wrong secret that is told as a broken network."""
+    """Guards against a wrong secret that is reported as a broken network."""
 
     async def test(control: fake_control.FakeControl) -> None:
         client = control.client(timeout_s=0.1, secret=b'another secret here')
@@ -465,7 +465,7 @@
 
 
 def test_lost_reply_of_a_lift(run: _Run) -> None:
-    """Guards against a lift that is told as refused after a lost reply."""
+    """Guards against a lift that is reported as refused after a lost reply."""
 
     async def test(control: fake_control.FakeControl) -> None:
         fingerprint = b'\xab' * 32
@@ -517,8 +517,8 @@
             return messages.Done()
 
     async def test(control: fake_control.FakeControl) -> None:
-        sound = control.client()
-        client = _Client(sound.options, sound.fleet)
+        made = control.client()
+        client = _Client(made.options, made.fleet)
         with pytest.raises(errors.ControlError):
             await commands.drain(client, 'siop-1')
         with pytest.raises(errors.ControlError):
--- a/tests/ctl/test_note_check.py
+++ b/tests/ctl/test_note_check.py
@@ -17,7 +17,7 @@
 
 _FIRST = _NOTE.format(number=1, name='a')
 
-# Text of a note, problems that a check must tell, with note 1 in force.
+# Text of a note, problems that a check must report, with note 1 in force.
 _CASES = {
     'good': (_NOTE.format(number=2, name='b'), []),
     'resend': (_FIRST, []),
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -38,7 +38,7 @@
 
 
 def test_tables_follow_the_code() -> None:
-    """Guards against an error, command or metric that the page tells wrong.
+    """Guards against an error, command or metric that the page misstates.
 
     Runs in a process of its own, because other tests make metrics.
     """
@@ -48,7 +48,7 @@
     assert check.returncode == 0, 'run python -m bench.pages'
 
 
-def test_every_header_is_told() -> None:
+def test_every_header_is_described() -> None:
     """Guards against a header that the page leaves out."""
     names = [
         value.decode()
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -52,7 +52,7 @@
 
 @dataclasses.dataclass
 class _Case:
-    """A wrong file: a sound one in which one text is replaced."""
+    """A wrong file: a valid one in which one text is replaced."""
 
     # What is wrong.
     name: str
@@ -175,7 +175,7 @@
         ['node.max_queue: must be a whole number, not 1.5'],
     ),
     _Case(
-        'truth value for a number',
+        'boolean for a number',
         'node',
         '',
         'max_queue = true',
@@ -196,7 +196,7 @@
         ["ctl.operator: must be text, not ''"],
     ),
     _Case(
-        'number for a truth value',
+        'number for a boolean',
         'node',
         '',
         'is_pass_through = 1',
@@ -308,17 +308,17 @@
         ["node.admin_address: has no port from 1 to 65535: '10.0.1.1:0'"],
     ),
     _Case(
-        'version 6 without brackets',
+        'IPv6 without brackets',
         'node',
         "'10.0.1.1:7202'",
         "'fd00::1:7202'",
         [
-            'node.admin_address: needs brackets around an IP number of '
-            "version 6, not 'fd00::1:7202'"
+            'node.admin_address: needs brackets around an IPv6 address, '
+            "not 'fd00::1:7202'"
         ],
     ),
     _Case(
-        'version 4 in brackets',
+        'IPv4 in brackets',
         'node',
         "'10.0.1.1:7202'",
         "'[10.0.1.1]:7202'",
@@ -469,14 +469,14 @@
 
 
 @pytest.mark.parametrize('file', _FILES)
-def test_sound_file(file: str) -> None:
-    """Guards against a check that refuses sound settings."""
+def test_valid_file(file: str) -> None:
+    """Guards against a check that refuses valid settings."""
     assert isinstance(_load(file, _FILES[file][1]), _FILES[file][0])
 
 
 @pytest.mark.parametrize('case', _CASES, ids=lambda case: case.name)
 def test_wrong_file(case: _Case) -> None:
-    """Guards against a mistake that is taken as a value or told unclearly."""
+    """Guards against a mistake that is accepted or reported unclearly."""
     text = _FILES[case.file][1]
     assert case.old in text
     if case.old:
