--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -13,6 +13,7 @@
 import collections.abc
 import contextlib
 import http
+import ipaddress
 import json
 import socket
 import typing
@@ -133,7 +134,7 @@
     def data_received(self, data: bytes) -> None:
         if self.transport.is_closing():
             return
-        # The parser tells of a header line only at its end, and a line
+        # The parser reports a header line only at its end, and a line
         # without an end must not fill the memory.
         self.unparsed_bytes += len(data)
         super().data_received(data)
@@ -193,6 +194,10 @@
     ) -> None:
         # Applications by 'host:port'.
         self.apps = apps
+        # The same by the address of a connection, and by the port alone for
+        # listeners on all addresses of the VM.
+        self.apps_by_address: dict[tuple[str, int], typing.Any] = {}
+        self.apps_by_port: dict[int, typing.Any] = {}
         self.sockets: list[socket.socket] = []
         protocol = type(
             'BoundedProtocol',
@@ -222,8 +227,14 @@
 
         Errors: OSError when the address cannot be used.
         """
-        for address in self.apps:
-            self.sockets.append(_bind(address))
+        for address, app in self.apps.items():
+            listener = _bind(address)
+            self.sockets.append(listener)
+            host, port = listener.getsockname()[:2]
+            if ipaddress.ip_address(host).is_unspecified:
+                self.apps_by_port[port] = app
+            else:
+                self.apps_by_address[host, port] = app
         self.task = asyncio.create_task(
             self.server.serve(sockets=self.sockets)
         )
@@ -235,8 +246,10 @@
     async def _dispatch(
         self, scope: typing.Any, receive: typing.Any, send: typing.Any
     ) -> None:
-        host, port = scope['server']
-        await self.apps[f'{host}:{port}'](scope, receive, send)
+        app = self.apps_by_address.get(scope['server'])
+        if app is None:
+            app = self.apps_by_port[scope['server'][1]]
+        await app(scope, receive, send)
 
     async def stop(self, timeout_s: float) -> None:
         """Stop listening, let running requests end, close connections."""
@@ -251,7 +264,8 @@
 
 def _bind(address: str) -> socket.socket:
     host, port = link.split_address(address)
-    listener = socket.socket()
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    listener = socket.socket(family)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, port))
--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -1,4 +1,4 @@
-"""The HTTP listener: what is no sound request must end with a true answer."""
+"""The HTTP listener: an invalid request must end in a true answer."""
 
 import asyncio
 import collections.abc
@@ -153,7 +153,7 @@
     'with a body': b'POST / HTTP/1.1\r\ncontent-length: 4\r\nbig: '
     + _BIG
     + b'\r\n\r\nbody',
-    # The parser tells of a header when the next one starts.
+    # The parser reports a header when the next one starts.
     'unfinished headers': b'GET / HTTP/1.1\r\n'
     + b''.join(b'h%d: %s\r\n' % (i, _FILLER) for i in range(6)),
 }
@@ -177,7 +177,7 @@
 def test_header_without_end() -> None:
     """Guards against one header line without an end that fills the memory.
 
-    The parser tells of a header only when its line has ended.
+    The parser reports a header only when its line has ended.
     """
     app = _App()
 
@@ -205,7 +205,7 @@
 
 
 def test_headers_at_the_bound() -> None:
-    """Guards against a bound that sound requests meet.
+    """Guards against a bound that valid requests exceed.
 
     The bound holds for each request, not for the connection, and for the
     headers, not for a body that comes with them.
@@ -276,7 +276,13 @@
 
 
 @pytest.mark.parametrize(
-    'second', [_MALFORMED['garbage'], _OVERSIZED['one value']]
+    'second',
+    [
+        _MALFORMED['garbage'],
+        _OVERSIZED['one value'],
+        # Its headers are valid, so it waits behind the first one.
+        _MALFORMED['wrong chunk'],
+    ],
 )
 def test_refusal_behind_a_running_request(second: bytes) -> None:
     """Guards against 'not run' that answers a request which is running.
@@ -290,8 +296,9 @@
         app.may_answer.clear()
         connection = await connect()
         connection.write(b'POST / HTTP/1.1\r\ncontent-length: 1\r\n\r\na')
-        while not app.bodies:
-            await asyncio.sleep(0)
+        async with asyncio.timeout(_HANG_S):
+            while not app.bodies:
+                await asyncio.sleep(0)
         connection.write(second)
         assert await connection.answer() is None
         app.may_answer.set()
@@ -405,6 +412,40 @@
     _run(node.caller_app, test)
 
 
+def test_listener_on_all_addresses() -> None:
+    """Guards against requests that find no application.
+
+    A connection to a listener on 0.0.0.0 shows the address that it came in
+    at, and two listeners may differ in the address alone.
+    """
+    every, one = _App(), _App()
+
+    async def main() -> None:
+        port, other = (
+            addresses.free_address().rpartition(':')[2] for _ in '12'
+        )
+        server = http_server.HttpServer(
+            {f'0.0.0.0:{port}': every, f'127.0.0.1:{other}': one}
+        )
+        await server.start()
+        try:
+            for number, app in ((port, every), (other, one)):
+                reader, writer = await asyncio.open_connection(
+                    '127.0.0.1', int(number)
+                )
+                connection = _Connection(reader, writer)
+                connection.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+                answer = await connection.answer()
+                writer.close()
+                assert answer is not None
+                assert answer.status == 200
+                assert app.bodies == [b'']
+        finally:
+            await server.stop(1.0)
+
+    asyncio.run(main())
+
+
 def test_address_in_use() -> None:
     """Guards against a process that ends without saying why."""
 
@@ -413,7 +454,10 @@
         port = server.sockets[0].getsockname()[1]
         async with server:
             listener = http_server.HttpServer({f'127.0.0.1:{port}': _App()})
-            with pytest.raises(OSError, match=f'127.0.0.1:{port}'):
+            with pytest.raises(OSError) as caught:
                 await listener.start()
+        assert str(caught.value) == (
+            f'Cannot listen on 127.0.0.1:{port}: Address already in use.'
+        )
 
     asyncio.run(main())
