End a control process whose replica has failed

Cause: a replica ends after a write that failed, but the process waited for a signal only. A follower went on looking healthy, since it still knew a leader, and held the sessions of its nodes.

Ruled out: a callback from the replica.

Conclusion: a full disk ends the process, and its nodes connect elsewhere.

--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import pathlib
 import signal
 import sys
@@ -47,11 +48,19 @@
 
 _ADMIN_STOP_S = 1.0
 
+# Time between two looks at the replica, seconds.
+_FAILURE_CHECK_S = 0.5
+
 
 async def run(
     options: settings.ControlOptions, fleet: settings.FleetOptions
 ) -> None:
-    """Run a control process until SIGTERM or SIGINT."""
+    """Run a control process until SIGTERM or SIGINT.
+
+    Errors: StorageError when the replica fails, for example because its disk
+    is full. A process without its replica serves nobody, and its nodes must
+    connect to another one.
+    """
     identity = link_module.Identity(
         messages.Role.CONTROL, options.slot, fleet.secret()
     )
@@ -75,11 +84,16 @@
     await service.start(fleet.control[options.slot])
     await server.start()
     _LOG.info('Replica %s started.', options.slot)
-    await wanted.wait()
+    while not wanted.is_set() and replica.failure is None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_FAILURE_CHECK_S):
+                await wanted.wait()
     _LOG.info('Replica %s is stopping.', options.slot)
     await service.stop()
     await server.stop(_ADMIN_STOP_S)
     _LOG.info('Replica %s stopped.', options.slot)
+    if replica.failure is not None:
+        raise errors.StorageError(f'The replica failed: {replica.failure}')
 
 
 def main() -> None:
