Bind a waiting call to the link it was sent over

Cause: when a link to an owner ended, all waiting calls of the peer failed, also those sent over the next link. A peer that stops reading keeps its old link open until it reads again, so the calls of a healthy link got peer_lost. Also: a Cancel on a link that takes no more raised LinkError instead of the cancellation; a peer could be dropped from the table while a call opened its link; opening a link had no regard to the deadline.

Change: a waiting call is kept with its link, answers over another link are stray, the peer counts its users, and the wait for a link ends with the deadline (deadline_passed, not run).

Before: test_link_that_ends_late got peer_lost for the call on the new link. After: it gets its own answer.

--- a/godwitstall/node/forward.py
+++ b/godwitstall/node/forward.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import contextlib
+import functools
 import itertools
 import typing
 
@@ -36,8 +38,13 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.link: link_module.Link | None = None
-        # Calls that wait for their answer, by call id.
-        self.waiting: dict[int, asyncio.Future[messages.Answer]] = {}
+        # Calls that wait for their answer, by call id, with the link that
+        # each was sent over.
+        self.waiting: dict[
+            int, tuple[link_module.Link, asyncio.Future[messages.Answer]]
+        ] = {}
+        # Calls that wait for a link or an answer.
+        self.users = 0
         self.reader: asyncio.Task[None] | None = None
         # Serves to open one connection at a time.
         self.lock = asyncio.Lock()
@@ -48,24 +55,30 @@
         """Return whether the link can be used."""
         return self.link is not None and not self.link.is_closed
 
-    async def on_message(self, message: messages.Message) -> None:
+    async def on_message(
+        self, link: link_module.Link, message: messages.Message
+    ) -> None:
         """Hand an answer to its call."""
         if not isinstance(message, messages.Answer):
             _LOG.warning('Unexpected %s.', type(message).__name__)
             return
-        future = self.waiting.get(message.call_id)
-        if future is None or future.done():
+        sent_over, future = self.waiting.get(message.call_id, (None, None))
+        if future is None or future.done() or sent_over is not link:
             _STRAY.inc()
             return
         future.set_result(message)
 
     async def read(self, link: link_module.Link) -> None:
-        """Read the link to its end, then fail the calls on it."""
+        """Read the link to its end, then fail the calls on it.
+
+        A closed link may take long to end when the peer does not read; calls
+        on the next link are not concerned.
+        """
         try:
-            await link.run(self.on_message)
+            await link.run(functools.partial(self.on_message, link))
         finally:
-            for future in self.waiting.values():
-                if not future.done():
+            for sent_over, future in self.waiting.values():
+                if sent_over is link and not future.done():
                     future.set_exception(
                         errors.RequestError(errors.ErrorKind.PEER_LOST)
                     )
@@ -93,31 +106,53 @@
         peer = self.peers.get(address)
         if peer is None:
             peer = self.peers[address] = _Peer(address)
-        if not peer.is_open():
-            await self._open(peer)
+        peer.users += 1
+        try:
+            link = await self._link_of(peer, call)
+            return await self._send(peer, link, call)
+        finally:
+            peer.users -= 1
+
+    async def _send(
+        self, peer: _Peer, link: link_module.Link, call: messages.Call
+    ) -> messages.Answer:
         call.call_id = next(self.call_ids)
         future: asyncio.Future[messages.Answer]
         future = asyncio.get_running_loop().create_future()
-        peer.waiting[call.call_id] = future
+        peer.waiting[call.call_id] = link, future
         timer = asyncio.get_running_loop().call_later(
             call.deadline_ms / 1000 + _ANSWER_GRACE_S, _time_out, future
         )
-        assert peer.link is not None
         try:
-            peer.link.send(call)
+            link.send(call)
             return await future
         except errors.LinkError as e:
             raise errors.RequestError(
                 errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
             ) from e
         except asyncio.CancelledError:
-            if peer.is_open():
-                peer.link.send(messages.Cancel(call.call_id))
+            # Without the link the owner cancels by itself.
+            with contextlib.suppress(errors.LinkError):
+                link.send(messages.Cancel(call.call_id))
             raise
         finally:
             timer.cancel()
             del peer.waiting[call.call_id]
 
+    async def _link_of(
+        self, peer: _Peer, call: messages.Call
+    ) -> link_module.Link:
+        if not peer.is_open():
+            try:
+                async with asyncio.timeout(call.deadline_ms / 1000):
+                    await self._open(peer)
+            except TimeoutError as e:
+                raise errors.RequestError(
+                    errors.ErrorKind.DEADLINE_PASSED
+                ) from e
+        assert peer.link is not None
+        return peer.link
+
     async def _open(self, peer: _Peer) -> None:
         async with peer.lock:
             if peer.is_open():
@@ -145,7 +180,7 @@
     def keep_only(self, addresses: set[str]) -> None:
         """Close links to nodes that are gone, once no call uses them."""
         for address, peer in list(self.peers.items()):
-            if address in addresses or peer.waiting:
+            if address in addresses or peer.users:
                 continue
             if peer.link is not None:
                 peer.link.close()
--- a/tests/node/test_whole_answers.py
+++ b/tests/node/test_whole_answers.py
@@ -371,3 +371,65 @@
             await owner.stop()
 
     asyncio.run(run())
+
+
+def test_link_that_ends_late(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against the end of an old link failing calls on the next one.
+
+    A peer that stops reading gets a new link, while the old one stays until
+    what was sent is read. Calls cancelled meanwhile leave nothing behind.
+    """
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path, _NOTE, {'siop-1': 'siop'}, retry_min_per_s=0.0
+        ) as (control, [node]):
+            owner = _ScriptedOwner()
+            await owner.start(control)
+            await fakes.until(
+                lambda: len(node.node.view.members) == 2, 'peer known'
+            )
+            first = asyncio.create_task(node.call('/far/1', _KEY))
+            await fakes.until(lambda: owner.calls, 'first call')
+            [old] = owner.links
+            transport = old.writer.transport
+            assert isinstance(transport, asyncio.Transport)
+            transport.pause_reading()
+            monkeypatch.setattr(link_module, 'MAX_UNSENT_BYTES', 0)
+            peer = node.node.forwarder.peers[owner.address]
+            waiting = []
+            while peer.is_open():
+                count = len(peer.waiting)
+                waiting.append(
+                    asyncio.create_task(
+                        node.call('/far/big', _KEY, 'POST', b'x' * 1_000_000)
+                    )
+                )
+                await fakes.until(
+                    lambda count=count: (  # type: ignore
+                        len(peer.waiting) > count or not peer.is_open()
+                    ),
+                    'sent',
+                )
+                assert len(waiting) < 50
+            # The buffer is full: cancelling must still settle the call.
+            for task in waiting:
+                task.cancel()
+            await asyncio.gather(*waiting, return_exceptions=True)
+            second = asyncio.create_task(node.call('/far/2', _KEY))
+            await fakes.until(lambda: len(owner.links) == 2, 'new link')
+            await fakes.until(
+                lambda: owner.calls[-1].path == '/far/2', 'second call'
+            )
+            transport.resume_reading()
+            assert json.loads((await first).body)['error'] == 'peer_lost'
+            owner.answer(owner.calls[-1].call_id, 'own')
+            assert (await second).body == b'own'
+            assert not peer.waiting and not peer.users
+            for load in node.node.relay.picker.dump().values():
+                assert load['outstanding'] == 0
+            await owner.stop()
+
+    asyncio.run(run())
