Mark an upstream down when it refuses a connection of a call

Change: a refused connection of a dispatch marks the incarnation dead.

Before: test_places_of_failure_before_the_upstream found the upstream still ready. After: all tests of the file pass.

--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -69,6 +69,8 @@
     answer: upstream_client.UpstreamAnswer | None
     # One sentence for people.
     detail: str
+    # No process listens where the upstream did.
+    is_refused: bool = False
 
 
 class Owner:
@@ -288,6 +290,8 @@
             self.contexts.close(entry)
         ended = clock.now()
         self._learn(outcome, ended - now, ended)
+        if outcome.is_refused:
+            self.upstream.mark_dead(incarnation)
         if outcome.kind is errors.ErrorKind.UPSTREAM_LOST:
             self.crash_watch.note(call, incarnation, client)
         return self._to_answer(call, entry, outcome)
@@ -305,7 +309,8 @@
                 call.method, call.path, block, call.body, deadline
             )
         except errors.RequestError as e:
-            return _Dispatched(e.kind, None, e.detail)
+            is_refused = isinstance(e.__cause__, ConnectionRefusedError)
+            return _Dispatched(e.kind, None, e.detail, is_refused)
         echo = upstream_client.find_header(answer.headers, headers.CONTEXT)
         if echo is not None and echo != entry.token.encode():
             _LOG.warning('Upstream gave the answer of another request.')
--- /dev/null
+++ b/tests/node/test_outcomes.py
@@ -0,0 +1,383 @@
+"""R6: a refusal that says "not run" is true.
+
+Each test compares the outcome that a caller was told with what the fake
+upstream ran for this caller's path.
+"""
+
+import asyncio
+import collections
+import json
+import pathlib
+import typing
+
+import hypothesis
+from hypothesis import strategies
+import pytest
+
+from godwitstall import errors
+from loadtool import http_client
+from tests import fakes
+
+_ROUTES: list[dict[str, typing.Any]] = [
+    {
+        'name': f'{place}-{kind}',
+        'path_prefix': f'/{place}/{kind}',
+        'service': service,
+        'idempotent': kind == 'safe',
+        'attempts': 4,
+    }
+    for place, service in (('near', 'siop'), ('far', 'gwydd'))
+    for kind in ('safe', 'once')
+]
+_NOTE = fakes.note(1, {'dyffryn': (100_000, 50_000)}, _ROUTES)
+_KEY = 'key-dyffryn'
+_PAIR = {'siop-1': 'siop', 'gwydd-1': 'gwydd'}
+_CUT = b'HTTP/1.1 200 X\r\ncontent-length: 9\r\n\r\nabc'
+
+_SCRIPTS: dict[str, fakes.Respond] = {
+    'whole': fakes.echo,
+    'plain 503': fakes.sends(fakes.response(b'no', 503)),
+    'shed': fakes.sends(fakes.SHED),
+    'shed and closed': fakes.sends(fakes.SHED, is_closing=True),
+    'closed before any byte': fakes.sends(is_closing=True),
+    'closed after some bytes': fakes.sends(_CUT, is_closing=True),
+    'silent': fakes.never,
+    'silent after some bytes': fakes.sends(_CUT),
+    'garbage': fakes.sends(b'\x00\r\n\r\n'),
+    'too large': fakes.sends(fakes.response(b'x' * 5000)),
+    'two answers': fakes.sends(
+        fakes.response(b'own') + fakes.response(b'more')
+    ),
+    # The bytes say that it did not run, but they are not the whole answer.
+    'shed, cut': fakes.sends(fakes.SHED[:-1], is_closing=True),
+}
+_SHEDDING = ('shed', 'shed and closed')
+
+
+class _Runs:
+    """Runs by path; shedding is no run."""
+
+    def __init__(self, *nodes: fakes.NodeHarness) -> None:
+        self.counts: collections.Counter[str] = collections.Counter()
+        # Scripts of each path, the next one first; the last one stays.
+        self.scripts: dict[str, list[str]] = {}
+        for node in nodes:
+            node.upstream.respond = self._respond
+
+    async def _respond(
+        self, request: fakes.Received, writer: asyncio.StreamWriter
+    ) -> None:
+        names = self.scripts.get(request.path, ['whole'])
+        name = names.pop(0) if len(names) > 1 else names[0]
+        if name not in _SHEDDING:
+            self.counts[request.path] += 1
+        await _SCRIPTS[name](request, writer)
+
+
+def _check(answer: http_client.Answer, runs: int, place: str) -> None:
+    told = answer.headers['godwitstall-outcome']
+    if told == 'not-run':
+        assert not runs, (place, answer)
+    elif told == 'run':
+        assert runs, (place, answer)
+    else:
+        assert told == 'unknown', (place, answer)
+
+
+_TOLD = {
+    'whole': (200, 'run', 'none'),
+    'plain 503': (503, 'run', 'none'),
+    'shed': (503, 'not-run', 'upstream_shed'),
+    'shed and closed': (503, 'not-run', 'upstream_shed'),
+    'closed before any byte': (502, 'unknown', 'upstream_lost'),
+    'closed after some bytes': (502, 'unknown', 'answer_cut'),
+    'silent': (504, 'unknown', 'upstream_timeout'),
+    'silent after some bytes': (504, 'unknown', 'upstream_timeout'),
+    'garbage': (502, 'unknown', 'answer_cut'),
+    'too large': (502, 'run', 'answer_too_large'),
+    'two answers': (200, 'run', 'none'),
+    'shed, cut': (502, 'unknown', 'answer_cut'),
+}
+
+
+def test_places_of_failure_at_the_upstream(tmp_path: pathlib.Path) -> None:
+    """Guards against a wrong outcome for each way an answer can fail."""
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path, _NOTE, _PAIR, max_answer_bytes=4096
+        ) as (_, [near, far]):
+            runs = _Runs(near, far)
+            for place in ('near', 'far'):
+                for number, (name, told) in enumerate(_TOLD.items()):
+                    path = f'/{place}/once/{number}'
+                    runs.scripts[path] = [name]
+                    answer = await near.call(
+                        path,
+                        _KEY,
+                        headers={'godwitstall-deadline-ms': '300'},
+                    )
+                    status, outcome, kind = told
+                    assert answer.status == status, (place, name, answer)
+                    assert answer.headers['godwitstall-outcome'] == outcome
+                    error = answer.headers.get('godwitstall-error', 'none')
+                    assert error == kind, (place, name)
+                    _check(answer, runs.counts[path], name)
+                    # Without an operation id a request is sent once.
+                    assert runs.counts[path] <= 1, name
+                    if outcome == 'not-run':
+                        assert int(answer.headers['retry-after']) >= 1, name
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('place', ['near', 'far'])
+def test_places_of_failure_before_the_upstream(
+    tmp_path: pathlib.Path, place: str
+) -> None:
+    """Guards against runs behind a refusal by limit, queue or deadline."""
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path, _NOTE, _PAIR, max_queue=1, max_queue_wait_ms=100
+        ) as (control, [near, far]):
+            owner = near if place == 'near' else far
+            await owner.announce(slots=1)
+            owner.slots = 1
+            runs = _Runs(near, far)
+            runs.scripts[f'/{place}/once/held'] = ['silent']
+            held = asyncio.create_task(
+                near.call(
+                    f'/{place}/once/held',
+                    _KEY,
+                    headers={'godwitstall-deadline-ms': '2000'},
+                )
+            )
+            await fakes.until(lambda: runs.counts, 'the slot is taken')
+            cases = [
+                ('waited too long', 9000, 'overloaded'),
+                ('deadline', 50, 'deadline_passed'),
+            ]
+            for name, deadline_ms, kind in cases:
+                answer = await near.call(
+                    f'/{place}/once/{deadline_ms}',
+                    _KEY,
+                    headers={'godwitstall-deadline-ms': str(deadline_ms)},
+                )
+                assert json.loads(answer.body)['error'] == kind, name
+                assert answer.headers['godwitstall-outcome'] == 'not-run'
+            answers = await asyncio.gather(
+                *(near.call(f'/{place}/once/f{n}', _KEY) for n in range(5))
+            )
+            assert len(answers) == 5
+            for answer in answers:
+                assert json.loads(answer.body)['error'] == 'overloaded'
+                assert int(answer.headers['godwitstall-retry-after-ms']) >= 1
+            assert (await held).status == 504
+            assert sum(runs.counts.values()) == 1
+            # The slot is free again.
+            after = await near.call(f'/{place}/once/after', _KEY)
+            assert after.status == 200
+            # All connections refused: told at once, and known to control.
+            assert owner.upstream.server is not None
+            owner.stop_announcing()
+            await owner.upstream.stop()
+            answer = await near.call(f'/{place}/once/refused', _KEY)
+            assert json.loads(answer.body)['error'] == 'upstream_unreachable'
+            assert answer.headers['godwitstall-outcome'] == 'not-run'
+            assert int(answer.headers['retry-after']) >= 1
+            assert not owner.node.upstream.is_ready()
+            await fakes.until(
+                lambda: (
+                    near.node.view.members[owner.options.node_id].state.name
+                    == 'DOWN'
+                ),
+                'control knows',
+            )
+
+    asyncio.run(run())
+
+
+def _cut_links(node: fakes.NodeHarness, is_own_side: bool) -> None:
+    """Break the links from or to a node without a word."""
+    if is_own_side:
+        links = [peer.link for peer in node.node.forwarder.peers.values()]
+    else:
+        links = list(node.node.peers.links)
+    for link in links:
+        if link is not None:
+            link.writer.transport.abort()
+
+
+def test_lost_links(tmp_path: pathlib.Path) -> None:
+    """Guards against a wrong outcome when the way to the owner breaks."""
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, _PAIR) as (_, [near, far]):
+            runs = _Runs(near, far)
+            assert (await near.call('/far/once/0', _KEY)).status == 200
+            for number, is_own_side in enumerate((True, False), 1):
+                # Lost while idle: the next call may fail, but truly.
+                _cut_links(near if is_own_side else far, is_own_side)
+                path = f'/far/once/idle-{number}'
+                _check(await near.call(path, _KEY), runs.counts[path], path)
+                after = await near.call(f'/far/once/after-{number}', _KEY)
+                assert after.status == 200
+                # Lost while the call runs: nobody knows.
+                path = f'/far/once/running-{number}'
+                runs.scripts[path] = ['silent']
+                task = asyncio.create_task(near.call(path, _KEY))
+                await fakes.until(lambda p=path: runs.counts[p], 'it runs')  # type: ignore
+                received = far.upstream.runs[-1]
+                _cut_links(near if is_own_side else far, is_own_side)
+                answer = await task
+                assert json.loads(answer.body)['error'] == 'peer_lost'
+                assert answer.headers['godwitstall-outcome'] == 'unknown'
+                # The owner stops the work that nobody waits for.
+                await asyncio.wait_for(received.closed.wait(), fakes.WAIT_S)
+                await fakes.until(lambda: not far.node.owner.running, 'freed')
+            # The owner is gone: nothing was sent.
+            await far.node.peers.stop()
+            _cut_links(far, False)
+            await fakes.until(
+                lambda: (
+                    not any(
+                        peer.is_open()
+                        for peer in near.node.forwarder.peers.values()
+                    )
+                ),
+                'link is down',
+            )
+            answer = await near.call('/far/once/gone', _KEY)
+            assert json.loads(answer.body)['error'] == 'upstream_unreachable'
+            assert answer.headers['godwitstall-outcome'] == 'not-run'
+            assert int(answer.headers['retry-after']) >= 1
+            # Nothing is counted as outstanding at any member.
+            for load in near.node.relay.picker.dump().values():
+                assert load['outstanding'] == 0
+
+    asyncio.run(run())
+
+
+_EVENTS = ('', '', '', 'cut own', 'cut owner', 'upstream restarts', 'hang up')
+
+_Plan = tuple[list[tuple[str, str, list[str], int]], str]
+
+
+@strategies.composite
+def _plans(draw: strategies.DrawFn) -> _Plan:
+    """Calls that run together, and what happens meanwhile."""
+    calls = draw(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from(('near', 'far')),
+                strategies.sampled_from(('safe', 'once')),
+                strategies.lists(
+                    strategies.sampled_from(sorted(_SCRIPTS)),
+                    min_size=1,
+                    max_size=3,
+                ),
+                strategies.sampled_from((1, 30, 100)),
+            ),
+            min_size=1,
+            max_size=6,
+        )
+    )
+    return calls, draw(strategies.sampled_from(_EVENTS))
+
+
+def test_told_outcomes_against_the_record(tmp_path: pathlib.Path) -> None:
+    """Guards against "not run" for a run, whatever fails together."""
+    services = _PAIR | {'siop-2': 'siop', 'gwydd-2': 'gwydd'}
+    seen: collections.Counter[str] = collections.Counter()
+    with asyncio.Runner() as runner:
+        fleet = fakes.running(
+            tmp_path,
+            _NOTE,
+            services,
+            max_answer_bytes=4096,
+            max_queue=2,
+            max_queue_wait_ms=50,
+            retry_ratio=1.0,
+            retry_min_per_s=1000.0,
+        )
+        _, nodes = runner.run(fleet.__aenter__())
+        runs = _Runs(*nodes)
+        numbers = iter(range(1_000_000))
+
+        async def happen(
+            event: str, tasks: list[asyncio.Task[typing.Any]]
+        ) -> None:
+            await asyncio.sleep(0.005)
+            match event:
+                case 'cut own':
+                    _cut_links(nodes[0], True)
+                case 'cut owner':
+                    for node in nodes:
+                        _cut_links(node, False)
+                case 'upstream restarts':
+                    for node in nodes[1:]:
+                        await node.upstream.stop()
+                        await node.upstream.start()
+                case 'hang up':
+                    tasks[0].cancel()
+
+        async def play(plan: _Plan) -> None:
+            calls, event = plan
+            paths = []
+            tasks = []
+            for place, kind, scripts, deadline_ms in calls:
+                path = f'/{place}/{kind}/{next(numbers)}'
+                runs.scripts[path] = list(scripts)
+                paths.append(path)
+                tasks.append(
+                    asyncio.create_task(
+                        nodes[0].call(
+                            path,
+                            _KEY,
+                            headers={
+                                'godwitstall-deadline-ms': str(deadline_ms)
+                            },
+                        )
+                    )
+                )
+            await happen(event, tasks)
+            found = await asyncio.gather(*tasks, return_exceptions=True)
+            for path, answer in zip(paths, found):
+                if isinstance(answer, asyncio.CancelledError):
+                    continue
+                assert isinstance(answer, http_client.Answer), answer
+                _check(answer, runs.counts[path], str(plan))
+                seen[answer.headers['godwitstall-outcome']] += 1
+                seen[answer.headers.get('godwitstall-error', 'none')] += 1
+                used = int(answer.headers['godwitstall-attempts-used'])
+                assert runs.counts[path] <= used <= 4, (plan, answer)
+                if '/once/' in path:
+                    assert runs.counts[path] <= 1, (plan, answer)
+            for node in nodes:
+                node.upstream.runs.clear()
+                await fakes.until(
+                    lambda node=node: (
+                        not (  # type: ignore
+                            node.node.owner.running
+                            or node.node.owner.active
+                            or len(node.node.owner.queue)
+                            or node.node.contexts.running
+                        )
+                    ),
+                    'nothing is left behind',
+                )
+                for load in node.node.relay.picker.dump().values():
+                    assert load['outstanding'] == 0
+
+        @hypothesis.given(plan=_plans())
+        def check(plan: _Plan) -> None:
+            runner.run(play(plan))
+
+        try:
+            check()
+        finally:
+            runner.run(fleet.__aexit__(None, None, None))
+    for outcome in errors.Outcome:
+        assert seen[outcome.label], seen
+    assert seen['none'], seen
