Bound the wait for a claim

Cause: a claim waited for control until the deadline of its call, up to an hour by the route table. Ruled out: refusing at once, since commands must outlast a lost reply and a move to the next replica.

Change: a claim waits 2 s at most and half of the time left.

--- a/godwitstall/node/claims.py
+++ b/godwitstall/node/claims.py
@@ -31,6 +31,12 @@
 # answer needs no record, so a slow record does not hold the answer up more.
 ANSWER_WAIT_S = 1.0
 
+# A claim waits this long at most, seconds, and half of the time left: it holds
+# a slot meanwhile, and a refusal near the deadline leaves no time to resend.
+# One try and its repetition over another session fit into it.
+CLAIM_WAIT_S = 2.0
+_CLAIM_SHARE = 0.5
+
 _RETRY_AFTER_MS = 1000
 
 
@@ -70,9 +76,10 @@
             self.node_id,
             call.route_name,
         )
+        left_s = max(0.0, deadline - clock.now())
         try:
             result = await self.session.propose(
-                command, max(0.0, deadline - clock.now())
+                command, min(CLAIM_WAIT_S, left_s * _CLAIM_SHARE)
             )
         except errors.GodwitstallError as e:
             # The claim may have been logged all the same.
