Look at the key again after the wait for a claim

Cause: a call whose key was withdrawn while its claim waited was run. Ruled out: the same check for all calls, since an owner's view may lag behind the entry node's and refuse a key just added; after a claim it has just heard from control.

Before: test_key_withdrawn_while_claiming was told 'run'. After: not run.

--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -251,6 +251,10 @@
         if found is not None:
             return found
         try:
+            # The claim has just been in contact with control, so the view
+            # cannot be behind the entry node's.
+            if call.key_id and self.view.key_by_id(call.key_id) is None:
+                raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
             answer = await self._dispatch(call, deadline)
         except errors.RequestError as e:
             if errors.ANSWERS[e.kind].outcome is errors.Outcome.NOT_RUN:
