Let the only waiting request of a workspace keep its turn

Cause: while a queue stands, everything that waited a fifth of the longest wait was shed, also the single request of a workspace that sends little. Ruled out: a longer wait for all (the standing queue would stay longer). Change: in that mode an item is shed only when others of its workspace and priority wait beside it.

--- a/godwitstall/limits/fair_queue.py
+++ b/godwitstall/limits/fair_queue.py
@@ -9,8 +9,10 @@
 Length and wait are bounded. When the queue has not been empty for max_wait_s,
 items other than payments are shed after a fifth of max_wait_s: a standing
 queue only adds delay, and without this rule it stays after its cause is gone.
-Payments are excepted because a payment that is shed for its wait would be
-followed by younger work of lower priority (requirement R2).
+The only item of a workspace is excepted: it waits for its turn, not behind a
+queue of its own, and shedding it would take from the workspaces that send
+least. Payments are excepted because a payment that is shed for its wait would
+be followed by younger work of lower priority (requirement R2).
 
 Example: queue.push(Item('shop-3', messages.Priority.HIGH, now + 2), now)
 """
@@ -222,6 +224,11 @@
             and self.is_overloaded(now)
         )
 
+    def _is_alone(self, item: Item) -> bool:
+        """Return whether no other item of its workspace waits beside it."""
+        flow = self._bands[item.priority.value].flows[item.workspace]
+        return flow.count == 1
+
     def _collect(self, now: float) -> None:
         """Move all late items out of the queue."""
         while self._expiries:
@@ -232,15 +239,19 @@
             if item.state is _State.QUEUED:
                 self._take_out(item, _State.LATE)
                 self._late.append(item)
+        kept = []
         while self._arrivals:
             item = self._arrivals[0]
             is_queued = item.state is _State.QUEUED
             if is_queued and not self._has_waited_too_long(item, now):
                 break
             self._arrivals.popleft()
-            if is_queued:
+            if is_queued and self._is_alone(item):
+                kept.append(item)
+            elif is_queued:
                 self._take_out(item, _State.LATE)
                 self._late.append(item)
+        self._arrivals.extendleft(reversed(kept))
 
     def _evict(self) -> Item:
         band = next(band for band in reversed(self._bands) if band.count)
