Do not swallow a cancellation that comes together with a reply

Cause: Link.request() used asyncio.wait_for(), which in Python 3.11 returns the result and drops the cancellation when both arrive in one turn of the loop. A task of the control session then went on for ever, and Node.stop() waited for it for ever; the test run of tests/node hung in this way three times. A claim given up by its caller could also be dispatched.

Ruled out: cancelling again until the task ends, since each caller would have to. Change: asyncio.timeout(), which keeps the cancellation.

--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -139,8 +139,11 @@
         self.pending[message.seq] = future
         try:
             self.send(message)
-            reply: messages.Message = await asyncio.wait_for(future, timeout_s)
-        except asyncio.TimeoutError as e:
+            # wait_for() of Python 3.11 swallows a cancellation that comes
+            # together with the reply, and its task would never end.
+            async with asyncio.timeout(timeout_s):
+                reply: messages.Message = await future
+        except TimeoutError as e:
             raise errors.LinkError(
                 errors.ErrorKind.PEER_LOST, 'No reply in time.'
             ) from e
