Close the caller listener at a planned stop before waiting for requests

Cause: the node waited until it was idle with its caller listener open.

Change: after the lease the listening sockets close, open connections have 0.5 s for a last request, and the node waits for what runs with the rest of stop_timeout_s. The upstream listener stays open for onward calls.

--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -147,6 +147,14 @@
                 f'{self.server.config.port}.'
             ) from e
 
+    async def stop_accepting(self) -> None:
+        """Close the listening sockets; open connections stay."""
+        # Connections that wait in the kernel would be reset; one turn of the
+        # loop accepts them.
+        await asyncio.sleep(0)
+        for server in self.server.servers:
+            server.close()
+
     async def stop(self, timeout_s: float) -> None:
         """Stop listening, let running requests end, close connections."""
         if self.task is None:
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -49,6 +49,10 @@
 # Time for outcomes on their way to control at a planned stop, seconds.
 _RECORD_WAIT_S = 5.0
 
+# A connection that was accepted just before the listener closed still has
+# this long for its request, seconds.
+_LAST_REQUEST_S = 0.5
+
 _POLL_S = 0.02
 
 
@@ -165,7 +169,13 @@
         await self.membership.leave()
         await asyncio.sleep(self.options.lease_s)
         end = clock.now() + self.options.stop_timeout_s
-        while self._is_busy() and clock.now() < end:
+        # Callers that keep calling must not use up the time of the requests
+        # that run; from here on they find no listener and go elsewhere.
+        await self.listeners[0].stop_accepting()
+        last_request = clock.now() + _LAST_REQUEST_S
+        while clock.now() < end and (
+            self._is_busy() or clock.now() < last_request
+        ):
             await asyncio.sleep(_POLL_S)
         for listener in self.listeners:
             await listener.stop(max(1.0, end - clock.now()))
