Bound the numbers of an announcement

Cause: an incarnation or a number of slots that does not fit into the message to control raised an error in the membership task, and the node stopped itself. Change: such an announcement is refused with 400, as others are.

--- a/godwitstall/node/announcements.py
+++ b/godwitstall/node/announcements.py
@@ -36,14 +36,15 @@
             found.append(
                 f'service: this node serves {service!r}, not {self.service!r}'
             )
-        if self.incarnation < 1:
-            found.append('incarnation: must be at least 1')
+        # The messages to control have 64 and 32 bits for these.
+        if not 1 <= self.incarnation < 2**63:
+            found.append('incarnation: must be from 1 to 2^63 - 1')
         if not 1 <= self.port <= 65_535:
             found.append('port: must be from 1 to 65535')
-        if self.slots < 1:
-            found.append('slots: must be at least 1')
-        if self.connections < 1:
-            found.append('connections: must be at least 1')
+        if not 1 <= self.slots < 2**31:
+            found.append('slots: must be from 1 to 2^31 - 1')
+        if not 1 <= self.connections < 2**31:
+            found.append('connections: must be from 1 to 2^31 - 1')
         if not self.health_path.startswith('/'):
             found.append('health_path: must start with /')
         if self.state not in ('ready', 'draining'):
