Keep the calls of a link apart when a peer repeats a call id

Cause: the first of two tasks with one call id removed the entry of the second; the second then raised KeyError in its callback, and a Cancel found no task. Change: a task removes only its own entry.

--- a/godwitstall/node/peer_server.py
+++ b/godwitstall/node/peer_server.py
@@ -90,4 +90,6 @@
     call_id: int,
     task: asyncio.Task[None],
 ) -> None:
-    del calls[call_id]
+    # A peer that uses a call id twice must not unhinge the other call.
+    if calls.get(call_id) is task:
+        del calls[call_id]
