Count crashes after a partial answer, and bound the wait of suspects

Change: answer_cut is looked into as well, and a suspect waits as long as the queue may take at most (overloaded, not run).

Before: test_request_that_crashes_upstreams with some bytes saw no report in 20 s, and test_suspects_run_one_at_a_time had no refusal before the deadline.

--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -58,6 +58,11 @@
     )
 )
 
+# Outcomes of a request whose upstream may have died while it ran.
+_LOST_KINDS = frozenset(
+    (errors.ErrorKind.UPSTREAM_LOST, errors.ErrorKind.ANSWER_CUT)
+)
+
 
 @dataclasses.dataclass(slots=True)
 class _Dispatched:
@@ -142,11 +147,7 @@
             raise errors.RequestError(errors.ErrorKind.QUARANTINED)
         if not self.view.is_suspect(call.fingerprint):
             return await self._run_in_slot(call, deadline)
-        try:
-            async with asyncio.timeout(deadline - clock.now()):
-                await self.suspect_lock.acquire()
-        except TimeoutError as e:
-            raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED) from e
+        await self._take_suspect_turn(deadline)
         try:
             if self.view.is_quarantined(call.fingerprint):
                 raise errors.RequestError(errors.ErrorKind.QUARANTINED)
@@ -154,6 +155,19 @@
         finally:
             self.suspect_lock.release()
 
+    async def _take_suspect_turn(self, deadline: float) -> None:
+        """Wait for the suspect before, as long as the queue may take."""
+        left_s = deadline - clock.now()
+        max_wait_s = self.options.max_queue_wait_ms / 1000
+        try:
+            async with asyncio.timeout(min(left_s, max_wait_s)):
+                await self.suspect_lock.acquire()
+        except TimeoutError as e:
+            kind = errors.ErrorKind.OVERLOADED
+            if left_s <= max_wait_s:
+                kind = errors.ErrorKind.DEADLINE_PASSED
+            raise errors.RequestError(kind) from e
+
     def _check_ready(self) -> None:
         """Refuse work without a lease or without a ready upstream."""
         if not self.claimer.session.is_fresh(clock.now()):
@@ -296,7 +310,7 @@
         self._learn(outcome, ended - now, ended)
         if outcome.is_refused:
             self.upstream.mark_dead(incarnation)
-        if outcome.kind is errors.ErrorKind.UPSTREAM_LOST:
+        if outcome.kind in _LOST_KINDS:
             self.crash_watch.note(call, incarnation, client)
         return self._to_answer(call, entry, outcome)
 
