--- /dev/null
+++ b/tests/node/test_planned_stop.py
@@ -0,0 +1,178 @@
+"""R9: a planned stop of a node cuts no request."""
+
+import asyncio
+import pathlib
+import typing
+
+from godwitstall import messages
+from loadtool import http_client
+from tests import fakes
+
+_NOTE = fakes.note(
+    1,
+    {'dyffryn': (100_000, 50_000)},
+    [
+        {
+            'name': 'orders',
+            'path_prefix': '/orders',
+            'service': 'siop',
+            'attempts': 8,
+            'dispatch_attempts': 4,
+        },
+        {'name': 'far', 'path_prefix': '/far', 'service': 'gwydd'},
+    ],
+)
+_KEY = 'key-dyffryn'
+_SERVICES = {'siop-1': 'siop', 'siop-2': 'siop', 'gwydd-1': 'gwydd'}
+
+
+def test_no_call_fails(tmp_path: pathlib.Path) -> None:
+    """Guards against calls that a planned stop cuts or refuses.
+
+    Calls run at the stopping node, come in to it, are forwarded to it and
+    make onward calls through it until it has stopped.
+    """
+
+    async def run() -> None:
+        # Callers never pause, so only a closed listener ends the stop.
+        async with fakes.running(
+            tmp_path, _NOTE, _SERVICES, stop_timeout_s=600.0
+        ) as (control, [stopping, other, far]):
+
+            def responder(node: fakes.NodeHarness) -> fakes.Respond:
+                async def respond(
+                    request: fakes.Received, writer: asyncio.StreamWriter
+                ) -> None:
+                    await asyncio.sleep(0.02)
+                    if request.path == '/orders/onward':
+                        answer = await node.call_onward(request, '/far/x')
+                        assert answer.status == 200, answer
+                    await fakes.echo(request, writer)
+
+                return respond
+
+            for node in (stopping, other, far):
+                node.upstream.respond = responder(node)
+            found: list[tuple[str, http_client.Answer]] = []
+            failed: list[tuple[str, typing.Any]] = []
+            stopped = asyncio.Event()
+
+            async def keep_calling(node: fakes.NodeHarness, path: str) -> None:
+                while not stopped.is_set():
+                    try:
+                        answer = await node.call(path, _KEY)
+                    except http_client.CallError as e:
+                        # A caller that finds no listener goes elsewhere.
+                        if e.reason != 'connect' or node is not stopping:
+                            failed.append((path, e.reason))
+                        return
+                    found.append((node.options.node_id, answer))
+                    if answer.status != 200:
+                        failed.append((path, answer))
+
+            callers = [
+                asyncio.create_task(keep_calling(node, path))
+                for node in (stopping, other)
+                for path in ('/orders/1', '/orders/onward', '/far/1')
+                for _ in range(3)
+            ]
+            await fakes.until(
+                lambda: (
+                    stopping.upstream.runs
+                    and len({node_id for node_id, _ in found}) == 2
+                ),
+                'calls run',
+            )
+            before = len(stopping.upstream.runs)
+            stop = asyncio.create_task(stopping.node.stop())
+            await fakes.until(
+                lambda: [
+                    c for c in control.commands if type(c) is messages.Leave
+                ],
+                'left',
+            )
+            # Forwarded to it by a node that has not heard of the stop yet.
+            late = messages.Call(
+                service=messages.ServiceName('siop'),
+                method='GET',
+                path='/orders/late',
+                workspace=messages.WorkspaceName('dyffryn'),
+                deadline_ms=15_000,
+                attempts=4,
+            )
+            answer = await other.node.forwarder.call(
+                stopping.options.link_address, late
+            )
+            assert answer.status == 200
+            # A call that runs on after the listener has closed.
+            is_free = asyncio.Event()
+
+            async def hold(
+                request: fakes.Received, writer: asyncio.StreamWriter
+            ) -> None:
+                if request.path != '/orders/1':
+                    await is_free.wait()
+                    onward = await stopping.call_onward(request, '/far/x')
+                    assert onward.status == 200, onward
+                await fakes.echo(request, writer)
+
+            stopping.upstream.respond = hold
+            # The stopping node is no member any more, but still an owner to
+            # nodes that have not heard of it.
+            late.path = '/orders/held'
+            held = asyncio.create_task(
+                other.node.forwarder.call(stopping.options.link_address, late)
+            )
+            await fakes.until(
+                lambda: (
+                    not stopping.node.listeners[0]
+                    .server.servers[0]
+                    .is_serving()
+                ),
+                'the caller listener is closed',
+            )
+            is_free.set()
+            assert (await held).status == 200
+            await fakes.until(stop.done, 'stopped')
+            await stop
+            stopped.set()
+            await asyncio.gather(*callers)
+            assert not failed
+            assert len(stopping.upstream.runs) > before
+            closing = [
+                answer
+                for node_id, answer in found
+                if node_id == stopping.options.node_id
+                and answer.headers.get('connection') == 'close'
+            ]
+            assert closing
+            assert stopping.options.node_id not in other.node.view.members
+
+    asyncio.run(run())
+
+
+def test_cancellation_together_with_a_reply(tmp_path: pathlib.Path) -> None:
+    """Guards against a stop that waits for ever for a task of the session.
+
+    A task that is cancelled in the moment its reply arrives must end.
+    """
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, {'siop-1': 'siop'}) as (
+            _,
+            [node],
+        ):
+            link = node.node.session.link
+            assert link is not None
+            known = set(link.pending)
+            task = asyncio.create_task(
+                link.request(messages.BarrierRequest(), 10.0)
+            )
+            await asyncio.sleep(0)
+            [number] = set(link.pending) - known
+            link.pending[number].set_result(messages.BarrierReply(number))
+            task.cancel()
+            await asyncio.wait({task})
+            assert task.cancelled()
+
+    asyncio.run(run())
