--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -71,6 +71,13 @@
         await asyncio.sleep(0.005)
 
 
+async def until_equal(
+    read: collections.abc.Callable[[], object], wanted: object
+) -> None:
+    """Wait until what read returns equals wanted."""
+    await until(lambda: read() == wanted, f'{wanted!r}')
+
+
 class FakeControl:
     """One control process without disk, peers or election."""
 
@@ -429,6 +436,9 @@
         await self.node.start()
         await self.announce()
         self.announcer = asyncio.create_task(self._announce_always())
+        await until(self.node.session.connected.is_set, 'session')
+        # Join now and not at the next check, which saves the tests time.
+        self.node.membership.on_upstream_change()
         await until(
             lambda: (
                 self.node.session.is_fresh(clock.now())
@@ -533,7 +543,7 @@
     await control.start()
     control.apply_note(text)
     # Without probes and a moving limit only the test decides what happens.
-    defaults = {
+    defaults: dict[str, typing.Any] = {
         'limit_policy': settings.LimitPolicy.FIXED,
         'probe_interval_s': 5.0,
     }
--- a/tests/node/test_attempts.py
+++ b/tests/node/test_attempts.py
@@ -15,20 +15,24 @@
 _LOST = fakes.sends(is_closing=True)
 
 
-def _chain_note(attempts: int, dispatch_attempts: int) -> str:
-    """Return a note with routes r1 to r14, each on the next service."""
+def _chain_note(chains: dict[str, tuple[int, int]]) -> str:
+    """Return a note with routes r1 to r14 below each chain's prefix.
+
+    chains holds attempts and dispatch_attempts of the routes by prefix.
+    """
     return fakes.note(
         1,
         {'dyffryn': (100_000, 50_000)},
         [
             {
-                'name': f'r{number}',
-                'path_prefix': f'/r{number}',
+                'name': f'{prefix}-r{number}',
+                'path_prefix': f'/{prefix}/r{number}',
                 'service': f'service-{number % 3}',
                 'idempotent': True,
                 'attempts': attempts,
                 'dispatch_attempts': dispatch_attempts,
             }
+            for prefix, (attempts, dispatch_attempts) in chains.items()
             for number in range(1, _DEPTH + 1)
         ],
     )
@@ -69,7 +73,8 @@
         async def respond(
             request: fakes.Received, writer: asyncio.StreamWriter
         ) -> None:
-            number = int(request.path.removeprefix('/r'))
+            prefix, _, text = request.path.rpartition('/r')
+            number = int(text)
             self.runs[number] += 1
             headers = {'godwitstall-attempts': self.header}
             if number < _DEPTH:
@@ -78,7 +83,7 @@
                         *(
                             node.call_onward(
                                 request,
-                                f'/r{number + 1}',
+                                f'{prefix}/r{number + 1}',
                                 headers=headers if self.header else None,
                             )
                             for _ in range(self.fan_out)
@@ -96,7 +101,8 @@
 
 # Name, attempts and dispatch_attempts of each route, fan-out, tries of the
 # upstreams themselves, attempts header of upstreams and of the caller, bound.
-_CHAINS: list[tuple[str, int, int, int, int, str, str, int]] = [
+_Case = tuple[str, int, int, int, int, str, str, int]
+_CHAINS: list[_Case] = [
     ('every hop fails', 28, 14, 1, 1, '', '', 28),
     ('no spare attempt', 14, 14, 1, 1, '', '', 14),
     ('upstreams retry too', 40, 20, 1, 3, '', '', 40),
@@ -111,48 +117,57 @@
 def test_runs_of_a_failing_chain(tmp_path: pathlib.Path) -> None:
     """Guards against retries that multiply from hop to hop."""
 
-    async def run(
-        case: tuple[str, int, int, int, int, str, str, int],
-    ) -> None:
-        name, attempts, dispatch, fan_out, tries, header, own, bound = case
+    async def run() -> None:
+        chains = {
+            f'c{number}': (case[1], case[2])
+            for number, case in enumerate(_CHAINS)
+        }
         async with fakes.running(
             tmp_path,
-            _chain_note(attempts, dispatch),
+            _chain_note(chains),
             _SERVICES,
             retry_ratio=1.0,
             retry_min_per_s=10_000.0,
         ) as (_, nodes):
-            chain = _Chain(nodes, fan_out, tries, header)
-            answer = await nodes[0].call(
-                '/r1',
-                _KEY,
-                headers={'godwitstall-attempts': own} if own else {},
+            for prefix, case in zip(chains, _CHAINS):
+                await check(nodes, prefix, case)
+
+    async def check(
+        nodes: list[fakes.NodeHarness], prefix: str, case: _Case
+    ) -> None:
+        name, _, _, fan_out, tries, header, own, bound = case
+        chain = _Chain(nodes, fan_out, tries, header)
+        answer = await nodes[0].call(
+            f'/{prefix}/r1',
+            _KEY,
+            headers={'godwitstall-attempts': own} if own else {},
+        )
+        assert answer.status == 502, name
+        runs = sum(chain.runs.values())
+        used = int(answer.headers['godwitstall-attempts-used'])
+        assert runs <= used <= bound, (name, chain.runs)
+        # The bound is not reached by running nothing.
+        assert runs >= min(bound, _DEPTH) / 2, (name, chain.runs)
+        if name == 'every hop fails':
+            # Only the last hop has not seen a deeper one give up: it is
+            # tried again, and no other layer is.
+            assert chain.runs[_DEPTH] <= 2
+            assert set(chain.runs.values()) <= {1, 2}, chain.runs
+            assert [n for n in chain.runs if chain.runs[n] == 2] in (
+                [],
+                [_DEPTH],
             )
-            assert answer.status == 502, name
-            runs = sum(chain.runs.values())
-            used = int(answer.headers['godwitstall-attempts-used'])
-            assert runs <= used <= bound, (name, chain.runs)
-            # The bound is not reached by running nothing.
-            assert runs >= min(bound, _DEPTH) / 2, (name, chain.runs)
-            if name == 'every hop fails':
-                # Only the last hop has not seen a deeper one give up: it is
-                # tried again, and no other layer is.
-                assert chain.runs[_DEPTH] <= 2
-                assert set(chain.runs.values()) <= {1, 2}, chain.runs
-                assert [n for n in chain.runs if chain.runs[n] == 2] in (
-                    [],
-                    [_DEPTH],
-                )
-
-    for case in _CHAINS:
-        asyncio.run(run(case))
+
+    asyncio.run(run())
 
 
 def test_unused_attempts_come_back(tmp_path: pathlib.Path) -> None:
     """Guards against a whole chain that fails for lack of attempts."""
 
     async def run() -> None:
-        async with fakes.running(tmp_path, _chain_note(28, 14), _SERVICES) as (
+        async with fakes.running(
+            tmp_path, _chain_note({'c': (28, 14)}), _SERVICES
+        ) as (
             _,
             nodes,
         ):
@@ -160,7 +175,7 @@
             chain.is_failing = False
             for _ in range(3):
                 chain.runs.clear()
-                answer = await nodes[0].call('/r1', _KEY)
+                answer = await nodes[0].call('/c/r1', _KEY)
                 assert answer.status == 200
                 assert answer.headers['godwitstall-attempts-used'] == '14'
                 assert sum(chain.runs.values()) == _DEPTH
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -77,10 +77,7 @@
                 answer = await _send_marker(nodes[count - 1])
                 assert answer.status == 502
                 assert answer.headers['godwitstall-outcome'] == 'unknown'
-                await fakes.until(
-                    lambda count=count: len(_reports(control)) == count,  # type: ignore
-                    'crash is reported',
-                )
+                await fakes.until_equal(lambda: len(_reports(control)), count)
                 [dead] = [m for m in mortals if m.has_died]
                 await dead.revive()
                 await fakes.until(
--- a/tests/node/test_isolation.py
+++ b/tests/node/test_isolation.py
@@ -292,13 +292,13 @@
             control.is_fresh = True
             held.is_free.set()
             assert (await task).status == 200
-            for node in (near, far):
-                await fakes.until(
-                    lambda node=node: node.node.session.is_fresh(  # type: ignore
-                        clock.now()
-                    ),
-                    'lease is back',
-                )
+            await fakes.until(
+                lambda: all(
+                    node.node.session.is_fresh(clock.now())
+                    for node in (near, far)
+                ),
+                'leases are back',
+            )
             assert (await near.call('/orders/4', _KEY)).status == 200
             assert (await near.call('/far/4', _KEY)).status == 200
 
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -14,6 +14,7 @@
 
 from godwitstall import clock
 from godwitstall import messages
+from godwitstall.node import control_session
 from loadtool import http_client
 from tests import fakes
 
@@ -261,8 +262,11 @@
     asyncio.run(run())
 
 
-def test_deaf_control(tmp_path: pathlib.Path) -> None:
+def test_deaf_control(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a run on a claim that arrives after it was given up."""
+    monkeypatch.setattr(control_session, '_PROPOSE_TRY_S', 0.3)
 
     async def run() -> None:
         async with fakes.running(tmp_path, _NOTE, _TWO) as (control, nodes):
@@ -358,8 +362,11 @@
     asyncio.run(run())
 
 
-def test_key_withdrawn_while_claiming(tmp_path: pathlib.Path) -> None:
+def test_key_withdrawn_while_claiming(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against a run for a key withdrawn while the claim waited."""
+    monkeypatch.setattr(control_session, '_PROPOSE_TRY_S', 0.3)
 
     async def run() -> None:
         async with fakes.running(tmp_path, _NOTE, _ONE) as (control, [node]):
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -227,7 +227,7 @@
                 path = f'/far/once/running-{number}'
                 runs.scripts[path] = ['silent']
                 task = asyncio.create_task(near.call(path, _KEY))
-                await fakes.until(lambda p=path: runs.counts[p], 'it runs')  # type: ignore
+                await fakes.until_equal(lambda: runs.counts[path], 1)
                 received = far.upstream.runs[-1]
                 _cut_links(near if is_own_side else far, is_own_side)
                 answer = await task
--- a/tests/node/test_shedding.py
+++ b/tests/node/test_shedding.py
@@ -67,19 +67,22 @@
         self.running = self.call('high/first')
         await fakes.until(lambda: self.owner.upstream.runs, 'slot taken')
 
-    def call(self, path: str, deadline_ms: int = 15_000, **more: str) -> Task:
+    def call(
+        self, path: str, deadline_ms: int = 15_000, priority: str = ''
+    ) -> Task:
         headers = {'godwitstall-deadline-ms': str(deadline_ms)}
-        headers |= {f'godwitstall-{key}': more[key] for key in more}
+        if priority:
+            headers['godwitstall-priority'] = priority
         return asyncio.create_task(
             self.entry.call(
                 f'/{self.owner.options.service}/{path}', _KEY, headers=headers
             )
         )
 
-    async def queued(self, path: str, **more: str) -> Task:
+    async def queued(self, path: str, priority: str = '') -> Task:
         """Start a call and wait until it stands in the queue."""
         count = len(self.queue)
-        task = self.call(path, **more)
+        task = self.call(path, priority=priority)
         await fakes.until(lambda: len(self.queue) == count + 1, 'queued')
         return task
 
@@ -192,10 +195,7 @@
                 tasks.append(
                     asyncio.create_task(near.call(f'/siop/{path}', _KEY))
                 )
-                await fakes.until(
-                    lambda count=count: len(stage.queue) == count,  # type: ignore
-                    'queued',
-                )
+                await fakes.until_equal(lambda: len(stage.queue), count)
             await stage.finish(*tasks)
             assert stage.paths == ['low/2', 'high/3', 'payment/1']
 
--- a/tests/node/test_whole_answers.py
+++ b/tests/node/test_whole_answers.py
@@ -90,7 +90,8 @@
     'garbage': ('GET', b'\x00\x01garbage\r\n\r\n', 502, b'', False),
     'two lengths': (
         'GET',
-        b'HTTP/1.1 200 X\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd',
+        b'HTTP/1.1 200 X\r\ncontent-length: 3\r\n'
+        b'content-length: 4\r\n\r\nabcd',
         502,
         b'',
         False,
