--- /dev/null
+++ b/tests/control/test_configuration_in_force.py
@@ -0,0 +1,364 @@
+"""R10 and R3: accepted notes are in force everywhere and never revert."""
+
+import asyncio
+import functools
+import json
+import pathlib
+
+from godwitstall import clock
+from godwitstall import messages
+from godwitstall.routing import view as view_module
+from loadtool import http_client
+from tests.control import harness
+from tests import fakes
+
+_ACCEPTED = messages.NoteVerdict.ACCEPTED
+
+
+def _is_fresh(node: fakes.NodeHarness) -> bool:
+    return node.node.session.is_fresh(clock.now())
+
+
+def _slot_of(node: fakes.NodeHarness) -> str:
+    return node.node.session.slot
+
+
+def _record_number(view: view_module.View, numbers: list[int]) -> None:
+    numbers.append(view.number)
+
+
+async def _refusal(node: fakes.NodeHarness, path: str, key: str = '') -> str:
+    """Return the kind of a refusal that says not run; fails otherwise."""
+    answer = await node.call(path, key)
+    assert answer.headers['godwitstall-outcome'] == 'not-run', answer
+    return str(json.loads(answer.body)['error'])
+
+
+def test_accepted_note_survives_leader_killed_at_once(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an acknowledgement before a majority has the note.
+
+    The leader dies right after the acknowledgement, and its disk is replaced
+    by an empty one; the note must be in force on every node all the same.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1', 'n2') as fleet:
+            leader = await fleet.leader()
+            operator = await fleet.operator(leader)
+            result = await operator.apply_note(
+                harness.rate_note(2, 500.0, 700)
+            )
+            await fleet.kill(leader)
+            assert result.verdict is _ACCEPTED
+            await fleet.in_force(2)
+            for node in fleet.nodes.values():
+                assert node.node.view.workspaces['w'].burst == 700
+            fleet.format(leader, False)
+            await fleet.start(leader)
+            await fakes.until(
+                lambda: fleet.control[leader].configuration.number == 2,
+                'the empty disk has the note',
+            )
+
+    asyncio.run(run())
+
+
+def test_second_replica_lost_right_after_a_repair(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against an empty disk that counts in a majority.
+
+    A replica gets an empty disk; as soon as it has its vote another one is
+    lost for good. The notes accepted before and during that stay.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1') as fleet:
+            repaired = await fleet.follower()
+            await fleet.kill(repaired)
+            await fleet.apply_note(harness.rate_note(2, 500.0, 702))
+            fleet.format(repaired, False)
+            await fleet.start(repaired)
+            disk = fleet.control[repaired].replica.disk.disk_id
+            await fleet.apply_note(harness.rate_note(3, 500.0, 703))
+            lost = fleet.others(repaired)[0]
+            survivor = fleet.others(repaired, lost)[0]
+            voters = fleet.control[survivor].replica.voters
+            await fakes.until(
+                lambda: (
+                    repaired in voters.current
+                    and voters.current[messages.SlotId(repaired)].disk_id
+                    == disk
+                ),
+                'the repaired replica has a vote',
+            )
+            await fleet.kill(lost)
+            await fleet.apply_note(harness.rate_note(4, 500.0, 704))
+            await fleet.in_force(4)
+            assert fleet.nodes['n1'].node.view.workspaces['w'].burst == 704
+
+    asyncio.run(run())
+
+
+def test_replica_cut_off_confirms_nothing_and_pushes_nothing_old(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against leases and state from a replica without a majority.
+
+    All nodes sit at the leader when it is cut off from the other replicas,
+    and one of them can reach no other replica. That one must lose its lease;
+    the others move. After the cut nothing reverts on any node.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1', 'n2') as fleet:
+            leader = await fleet.leader()
+            others = fleet.others(leader)
+            n1, n2 = fleet.nodes['n1'], fleet.nodes['n2']
+            seen: dict[str, list[int]] = {'n1': [], 'n2': []}
+            for name, numbers in seen.items():
+                view = fleet.nodes[name].node.view
+                view.on_change.append(
+                    functools.partial(_record_number, view, numbers)
+                )
+            fleet.cut('n1', others=others)
+            await fakes.until(
+                lambda: _slot_of(n1) == leader and _is_fresh(n1),
+                'n1 uses the leader',
+            )
+            cut_at = clock.now()
+            fleet.cut(leader, others=others)
+            await fakes.until(
+                lambda: (
+                    fleet.leader_slot() in others
+                    and _slot_of(n2) in others
+                    and _is_fresh(n2)
+                ),
+                'the majority goes on and n2 with it',
+            )
+            operator = await fleet.operator(fleet.leader_slot())
+            for number in (2, 3, 4):
+                result = await operator.apply_note(
+                    harness.rate_note(number, 500.0, 700 + number)
+                )
+                assert result.verdict is _ACCEPTED
+            await fleet.in_force(4, 'n2')
+            await fakes.until(lambda: not _is_fresh(n1), 'n1 has no lease')
+            # Barrier rounds that began before the leader lease ended may
+            # still confirm; the node lease counts from its own send time.
+            session = n1.node.session
+            assert session.lease_until <= (
+                cut_at + fleet.options['leader_lease_s'] + n1.options.lease_s
+            )
+            assert await _refusal(n1, '/siop', 'key-w') == 'control_lost'
+            assert await _refusal(n1, '/open') == 'control_lost'
+            # n2 may use only the replica that was cut off from now on.
+            fleet.cut('n2', others=others)
+            fleet.join(leader, others=others)
+            await fleet.in_force(4)
+            await fakes.until(
+                lambda: (
+                    _slot_of(n2) == leader and _is_fresh(n2) and _is_fresh(n1)
+                ),
+                'both use the replica that came back',
+            )
+            assert all(numbers == sorted(numbers) for numbers in seen.values())
+            assert (await n1.call('/siop', 'key-w')).status == 200
+            assert (await n2.call('/siop', 'key-w')).status == 200
+
+    asyncio.run(run())
+
+
+def test_operators_race_with_one_number(tmp_path: pathlib.Path) -> None:
+    """Guards against two notes in force under one number.
+
+    The loser is told by whom the number was taken, and the winner who sends
+    the note again through another replica is told that it is in force.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            first, second = await fleet.follower(), await fleet.leader()
+            texts = [harness.rate_note(2, 500.0, n) for n in (801, 802)]
+            ann = await fleet.operator(first, 'ann')
+            ben = await fleet.operator(second, 'ben')
+            results = await asyncio.gather(
+                ann.apply_note(texts[0]), ben.apply_note(texts[1])
+            )
+            verdicts = [result.verdict for result in results]
+            assert sorted(verdicts, key=lambda item: item.value) == [
+                _ACCEPTED,
+                messages.NoteVerdict.NUMBER_TAKEN,
+            ]
+            winner = verdicts.index(_ACCEPTED)
+            assert results[1 - winner].operator == ('ann', 'ben')[winner]
+            again = await (ben, ann)[winner].apply_note(texts[winner])
+            assert again.verdict is messages.NoteVerdict.ALREADY_IN_FORCE
+            await fakes.until(
+                lambda: all(
+                    process.configuration.workspaces[0].burst == 801 + winner
+                    for process in fleet.control.values()
+                ),
+                'all replicas have the note of the winner',
+            )
+
+    asyncio.run(run())
+
+
+def test_resend_after_a_lost_answer(tmp_path: pathlib.Path) -> None:
+    """Guards against a resend that counts as another note.
+
+    The answer is lost because the operator's wire is cut, and the leader
+    dies; the resend goes through the next one.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            leader = await fleet.leader()
+            operator = await fleet.operator(leader)
+            text = harness.rate_note(2, 500.0, 702)
+            link = await operator.connected()
+            link.send(
+                messages.Propose(1, messages.encode(harness.apply_note(text)))
+            )
+            await fakes.until(
+                lambda: fleet.control[leader].configuration.number == 2
+            )
+            fleet.cut('ann', others=[leader])
+            await fleet.kill(leader)
+            again = await fleet.operator(await fleet.leader())
+            result = await again.apply_note(text)
+            assert result.verdict is messages.NoteVerdict.ALREADY_IN_FORCE
+            assert result.operator == 'ann'
+
+    asyncio.run(run())
+
+
+def test_restart_of_all_replicas_after_hundreds_of_notes(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a snapshot or log that loses accepted notes."""
+
+    async def run() -> None:
+        async with harness.running(
+            tmp_path, 'n1', snapshot_entries=64
+        ) as fleet:
+            operator = await fleet.operator(await fleet.leader())
+            for number in range(2, 302):
+                result = await operator.apply_note(
+                    harness.rate_note(number, 500.0, 1000 + number)
+                )
+                assert result.verdict is _ACCEPTED
+            await fakes.until(
+                lambda: all(
+                    process.replica.log.snapshot_index > 64
+                    for process in fleet.control.values()
+                ),
+                'all took snapshots',
+            )
+            before = fleet.control['c1'].machine.configuration.to_snapshot()
+            await asyncio.gather(*(fleet.kill(slot) for slot in harness.SLOTS))
+            node = fleet.nodes['n1']
+            await fakes.until(lambda: not _is_fresh(node))
+            assert await _refusal(node, '/siop', 'key-w') == 'control_lost'
+            await fleet.start()
+            await fakes.until(lambda: _is_fresh(node), 'the node goes on')
+            assert node.node.view.number == 301
+            assert node.node.view.workspaces['w'].burst == 1301
+            assert (await node.call('/siop', 'key-w')).status == 200
+            await fakes.until(
+                lambda: all(
+                    process.machine.configuration.to_snapshot() == before
+                    for process in fleet.control.values()
+                ),
+                'all replicas hold what they held',
+            )
+            result = await fleet.apply_note(
+                harness.rate_note(301, 500.0, 1301)
+            )
+            assert result.verdict is messages.NoteVerdict.ALREADY_IN_FORCE
+
+    asyncio.run(run())
+
+
+def test_node_restarted_on_the_wrong_side_of_a_cut(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a lease from a replica that is cut off.
+
+    The node starts without state, takes the old state of the cut-off replica
+    and must serve nothing on it, until it reaches the others; then it joins
+    above its former start number.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1', 'n2') as fleet:
+            leader = await fleet.leader()
+            others = fleet.others(leader)
+            await fleet.remove_node('n1')
+            fleet.cut(leader, others=others)
+            fleet.cut('n1', others=others)
+            await fakes.until(lambda: fleet.leader_slot() in others)
+            operator = await fleet.operator(fleet.leader_slot(), 'ben')
+            await operator.apply_note(harness.withdrawal(2))
+            node = await fleet.make_node('n1')
+            starting = asyncio.create_task(node.start())
+            await fakes.until(
+                lambda: node.node.view.number == 1, 'old state arrived'
+            )
+            link = node.node.session.link
+            await fakes.until(
+                lambda: node.node.session.link is not link,
+                'a heartbeat was refused and the session ended',
+            )
+            assert node.node.session.lease_until == 0.0
+            refused = await http_client.Client(
+                node.options.caller_address, 1
+            ).request('GET', '/siop', [('godwitstall-key', 'key-w')], b'', 9.0)
+            assert json.loads(refused.body)['error'] == 'control_lost'
+            assert not node.upstream.runs
+            fleet.join('n1', others=others)
+            await starting
+            assert await _refusal(node, '/siop', 'key-w') == 'key_unknown'
+            await fleet.all_know('n1', 'n2')
+
+    asyncio.run(run())
+
+
+def test_withdrawn_key_on_open_connections(tmp_path: pathlib.Path) -> None:
+    """Guards against keys checked once for each connection (R3).
+
+    A node that is cut off from control cannot know of the withdrawal: after
+    its lease it refuses every call, with and without a key.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1', 'n2', 'n3') as fleet:
+            nodes = fleet.nodes
+            for node in nodes.values():
+                assert (await node.call('/siop', 'key-w')).status == 200
+            fleet.cut('n3', others=harness.SLOTS)
+            await fleet.apply_note(harness.withdrawal(2))
+            await fleet.in_force(2, 'n1', 'n2')
+            runs = [len(node.upstream.runs) for node in nodes.values()]
+            for name in ('n1', 'n2'):
+                # The same connection as before.
+                kind = await _refusal(nodes[name], '/siop', 'key-w')
+                assert kind == 'key_unknown'
+            await fakes.until(lambda: not _is_fresh(nodes['n3']))
+            assert nodes['n3'].node.view.number == 1
+            kinds = {
+                await _refusal(nodes['n3'], '/siop', 'key-w'),
+                await _refusal(nodes['n3'], '/open'),
+            }
+            assert kinds == {'control_lost'}
+            assert runs == [len(n.upstream.runs) for n in nodes.values()]
+            fleet.join('n3', others=harness.SLOTS)
+            await fleet.in_force(2)
+            assert await _refusal(nodes['n3'], '/siop', 'key-w') == (
+                'key_unknown'
+            )
+
+    asyncio.run(run())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -361,7 +361,7 @@
     def __init__(
         self,
         folder: pathlib.Path,
-        control: FakeControl,
+        control: FakeControl | dict[str, str],
         node_id: str = 'siop-1',
         service: str = 'siop',
         upstream: FakeUpstream | None = None,
@@ -387,9 +387,10 @@
             service=messages.ServiceName(service),
             **(defaults | options),
         )
-        self.fleet = settings.FleetOptions(
-            'tests', str(secret_file), {'c1': control.address}
-        )
+        # Addresses of control by slot; tests/control has several.
+        if isinstance(control, FakeControl):
+            control = {'c1': control.address}
+        self.fleet = settings.FleetOptions('tests', str(secret_file), control)
         self.upstream = upstream or FakeUpstream()
         self.node = program.Node.from_config(self.options, self.fleet)
         self.caller = http_client.Client(self.options.caller_address, 512)
