Send answers without Nagle's algorithm

Cause: asyncio sets TCP_NODELAY only on sockets that name their protocol. The listeners of http_server were made without it, so the body of every answer on a kept connection waited for the delayed acknowledgement of its head. Ruled out: the wires of the tests, the fake upstream (0.1 ms a call directly) and the tokens (a refusal without any token took as long). Change: the listener names IPPROTO_TCP. The new test fails without the change. Conclusion: callers on kept connections no longer lose 40 ms a call.

--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -265,7 +265,10 @@
 def _bind(address: str) -> socket.socket:
     host, port = link.split_address(address)
     family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    listener = socket.socket(family)
+    # asyncio turns Nagle's algorithm off only for sockets that name their
+    # protocol. With it on, the body of an answer waits for the delayed
+    # acknowledgement of the head, 40 ms.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
         listener.bind((host, port))
--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -4,6 +4,7 @@
 import collections.abc
 import dataclasses
 import json
+import socket
 import typing
 
 import pytest
@@ -446,6 +447,36 @@
     asyncio.run(main())
 
 
+def test_answers_are_not_held_back() -> None:
+    """Guards against Nagle's algorithm on the connections of callers.
+
+    It held the body of each answer back for 40 ms.
+    """
+
+    async def main() -> None:
+        address = addresses.free_address()
+        server = http_server.HttpServer({address: _App()})
+        await server.start()
+        host, port = link.split_address(address)
+        try:
+            reader, writer = await asyncio.open_connection(host, port)
+            connection = _Connection(reader, writer)
+            connection.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+            assert await connection.answer() is not None
+            accepted = list(server.server.server_state.connections)
+            for protocol in accepted:
+                found = typing.cast(
+                    typing.Any, protocol
+                ).transport.get_extra_info('socket')
+                assert found.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+            assert len(accepted) == 1
+            writer.close()
+        finally:
+            await server.stop(1.0)
+
+    asyncio.run(main())
+
+
 def test_address_in_use() -> None:
     """Guards against a process that ends without saying why."""
 
