Take a large message right behind the handshake

Cause: accept() reads with the bound of the handshake, 4 KiB, and split all frames of one read at once. A release note above 4 KiB that arrived in one read with the proof was refused with the link, at each resend again. Ruled out: the size of the note (FakeControl's machine took it) and the log. Change: during the handshake only one frame is split at a time; what is behind it is split under the bound of an open link. Figures: tests/base/test_link.py fails without the change and passes with it. Conclusion: a peer may send at once after its proof.

--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -162,6 +162,14 @@
         garbage; the link is closed in both cases.
         """
         while not self._ready:
+            try:
+                self._split_frames()
+            except errors.LinkError:
+                _GARBAGE.inc()
+                self.close()
+                raise
+            if self._ready:
+                break
             try:
                 data = await self.reader.read(_READ_BYTES)
             except OSError as e:
@@ -172,12 +180,6 @@
                 raise errors.LinkError(errors.ErrorKind.PEER_LOST)
             self.bytes_received += len(data)
             self._buffer += data
-            try:
-                self._split_frames()
-            except errors.LinkError:
-                _GARBAGE.inc()
-                self.close()
-                raise
         return self._ready.pop(0)
 
     def _split_frames(self) -> None:
@@ -197,6 +199,10 @@
             self._ready.append(
                 messages.decode(bytes(self._buffer[body:start]))
             )
+            if self.max_frame_bytes == _MAX_GREETING_BYTES:
+                # The last frame of the handshake may have a large one behind
+                # it, which the bound of the handshake must not refuse.
+                break
         del self._buffer[:start]
 
     async def run(self, handler: Handler) -> None:
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -109,6 +109,25 @@
     _run(test)
 
 
+def test_large_message_right_behind_the_handshake() -> None:
+    """Guards against the bound of the handshake on what follows it.
+
+    A release note of more than 4 KiB arrives in one read with the proof.
+    """
+
+    async def test(server: _Server) -> None:
+        near = await links.connect(server.address, _identity('n1'))
+        near.send(messages.Propose(1, b'x' * 20_000))
+        far = await server.next_link()
+        message = await far.receive()
+        assert isinstance(message, messages.Propose)
+        assert len(message.command) == 20_000
+        near.close()
+        far.close()
+
+    _run(test)
+
+
 def test_connecting_with_a_wrong_secret() -> None:
     """Guards against a process of another fleet that is let in.
 
