Bound what one session can pile up at a replica

Cause: each heartbeat made a task that waits up to 1.5 s for a confirmation, and updates were queued on the link of a node that reads slowly up to the 32 MiB of the link; 900 such nodes are more than a VM has. Ruled out: a session that outlives its link did not show on the old code; its test stands as a guard. Change: a session confirms one heartbeat at a time, and a later one replaces the one that waits. A session with more than 256 KiB unsent gets no update and no fresh reply; the next update covers what it missed. Link tells its unsent bytes. The log names the peer of an unexpected message. Conclusion: the memory of a replica is bounded by its number of sessions.

--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -117,7 +117,9 @@
             return
         match message:
             case messages.Heartbeat():
-                self._spawn(self._beat(link, message))
+                session = self.sessions.on_heartbeat(link, message)
+                if session is not None:
+                    self._spawn(self.sessions.confirm(session))
             case messages.Propose():
                 self._spawn(self._reply(link, message, self._propose))
             case messages.GrantRequest():
@@ -129,15 +131,11 @@
             case messages.LivenessReport():
                 self._spawn(self._reply(link, message, self._liveness))
             case _:
-                _LOG.warning('Unexpected %s.', type(message).__name__)
-
-    async def _beat(
-        self, link: link_module.Link, beat: messages.Heartbeat
-    ) -> None:
-        try:
-            await self.sessions.on_heartbeat(link, beat)
-        except errors.LinkError as e:
-            _LOG.debug('Heartbeat of %s: %s', beat.node_id, e)
+                _LOG.warning(
+                    'Unexpected %s from %s.',
+                    type(message).__name__,
+                    link.peer_id,
+                )
 
     async def _reply(
         self,
@@ -238,8 +236,13 @@
         while self.sessions.open and clock.now() < end:
             await asyncio.sleep(_POLL_S)
         await self.replica.stop()
+        await self.close()
+
+    async def close(self) -> None:
+        """End the replica, the listener, all links and tasks at once."""
         if self.server is not None:
             self.server.close()
+        await self.replica.close()
         for link in list(self.links):
             link.close()
         for task in list(self.tasks):
--- a/godwitstall/control/sessions.py
+++ b/godwitstall/control/sessions.py
@@ -24,6 +24,10 @@
 _STALE = metrics.counter(
     'heartbeats_unconfirmed_total', 'Heartbeats that were not confirmed.'
 )
+_REPLACED = metrics.counter(
+    'heartbeats_replaced_total',
+    'Heartbeats dropped for a later one of the same session.',
+)
 
 # Changes that come close together are sent as one update.
 _PUSH_GAP_S = 0.02
@@ -31,6 +35,11 @@
 # Longest time to confirm one heartbeat, seconds.
 _CONFIRM_TIMEOUT_S = 1.5
 
+# Bytes that may wait for a node before it is sent no further update. The
+# update that it gets later covers all that it missed, so a node that reads
+# slowly costs this and one update, and not the link's 32 MiB.
+_MAX_UNSENT_BYTES = 256 * 1024
+
 
 @dataclasses.dataclass(slots=True)
 class Session:
@@ -48,6 +57,10 @@
     applied_index: int = 0
     # Time of the last heartbeat, seconds.
     heard_at: float = 0.0
+    # Last heartbeat that no confirmation has been started for.
+    waiting: messages.Heartbeat | None = None
+    # Whether a task confirms heartbeats of this session.
+    is_confirming: bool = False
 
 
 class Sessions:
@@ -78,16 +91,20 @@
                 self._push(session)
             await asyncio.sleep(_PUSH_GAP_S)
 
-    def _push(self, session: Session) -> None:
+    def _push(self, session: Session) -> bool:
+        """Send what the node lacks; return whether it lacks nothing now."""
         index = self.machine.applied_index
         if session.sent_index >= index:
-            return
+            return True
+        if session.link.unsent_bytes > _MAX_UNSENT_BYTES:
+            return False
         try:
             session.link.send_encoded(self._update(session.sent_index))
         except errors.LinkError:
-            return
+            return False
         session.sent_index = index
         _PUSHES.inc()
+        return True
 
     def _update(self, since: int) -> bytes:
         """Return the encoded update, made once for all sessions."""
@@ -103,10 +120,15 @@
             data = self.encoded[since] = messages.encode(update)
         return data
 
-    async def on_heartbeat(
+    def on_heartbeat(
         self, link: link_module.Link, beat: messages.Heartbeat
-    ) -> None:
-        """Answer one heartbeat."""
+    ) -> Session | None:
+        """Take in a heartbeat; return the session when confirm() must run.
+
+        A heartbeat that waits while another one is confirmed is replaced by
+        the next, so that a node cannot pile them up. The replaced one gets
+        no reply.
+        """
         session = self.open.get(link)
         if session is None:
             session = self.open[link] = Session(link)
@@ -114,6 +136,28 @@
         session.incarnation = beat.incarnation
         session.applied_index = beat.applied_index
         session.heard_at = clock.now()
+        if session.waiting is not None:
+            _REPLACED.inc()
+        session.waiting = beat
+        if session.is_confirming:
+            return None
+        session.is_confirming = True
+        return session
+
+    async def confirm(self, session: Session) -> None:
+        """Answer the heartbeats of a session until none waits."""
+        try:
+            while session.waiting is not None and not session.link.is_closed:
+                beat, session.waiting = session.waiting, None
+                await self._answer(session, beat)
+        except errors.LinkError as e:
+            _LOG.debug('Heartbeat of %s: %s', session.node_id, e)
+        finally:
+            session.is_confirming = False
+
+    async def _answer(
+        self, session: Session, beat: messages.Heartbeat
+    ) -> None:
         try:
             await self.barrier.wait(_CONFIRM_TIMEOUT_S)
             is_fresh = True
@@ -121,8 +165,9 @@
             _LOG.debug('Heartbeat of %s not confirmed: %s', beat.node_id, e)
             _STALE.inc()
             is_fresh = False
-        self._push(session)
-        link.send(
+        # A reply must follow all state that it vouches for.
+        is_fresh = self._push(session) and is_fresh
+        session.link.send(
             messages.HeartbeatReply(
                 beat.seq,
                 is_fresh,
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -104,6 +104,11 @@
         self._buffer = bytearray()
         self._ready: list[messages.Message] = []
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait in this process for the peer to read."""
+        return self.writer.transport.get_write_buffer_size()
+
     def send(self, message: messages.Message) -> None:
         """Queue one message for sending.
 
@@ -117,8 +122,7 @@
         if self.is_closed:
             raise errors.LinkError(errors.ErrorKind.PEER_LOST)
         # Checked before the write, so that a refused message is surely unsent.
-        unsent = self.writer.transport.get_write_buffer_size()
-        if unsent > MAX_UNSENT_BYTES:
+        if self.unsent_bytes > MAX_UNSENT_BYTES:
             _LOG.warning('Peer %s stopped reading.', self.peer_id)
             self.close()
             raise errors.LinkError(errors.ErrorKind.PEER_LOST)
--- /dev/null
+++ b/tests/control/test_service.py
@@ -0,0 +1,359 @@
+"""Sessions, soft state and refusals of the control service."""
+
+import asyncio
+import collections.abc
+import contextlib
+import pathlib
+import socket
+
+import pytest
+
+from godwitstall import clock
+from godwitstall.control import sessions as sessions_module
+from godwitstall import errors
+from godwitstall import link as link_module
+from godwitstall import messages
+from tests.control import harness
+from tests import fakes
+
+_NODE = messages.NodeId('n9')
+
+
+async def _connect(
+    fleet: harness.Fleet,
+    slot: str,
+    handler: link_module.Handler | None = None,
+) -> link_module.Link:
+    """Return a node's link to a control process, without a wire."""
+    link = await link_module.connect(
+        fleet.addresses[slot],
+        link_module.Identity(messages.Role.NODE, _NODE, fakes.SECRET),
+    )
+
+    async def ignore(message: messages.Message) -> None:
+        """Drop a push."""
+
+    asyncio.create_task(link.run(handler or ignore))
+    return link
+
+
+@contextlib.asynccontextmanager
+async def _leaderless(
+    fleet: harness.Fleet,
+) -> collections.abc.AsyncGenerator[harness.Process, None]:
+    """Cut all replicas from each other; gives the former leader."""
+    leader = await fleet.leader()
+    for each in harness.SLOTS:
+        fleet.cut(each, others=fleet.others(each))
+    process = fleet.control[leader]
+    await fakes.until(
+        lambda: not any(p.replica.is_leader for p in fleet.control.values()),
+        'no replica leads',
+    )
+    yield process
+    for each in harness.SLOTS:
+        fleet.join(each, others=fleet.others(each))
+
+
+def test_heartbeats_faster_than_confirmed(tmp_path: pathlib.Path) -> None:
+    """Guards against a task for each heartbeat that cannot be confirmed.
+
+    The last heartbeat must still get its reply.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            leader = await fleet.leader()
+            process = fleet.control[leader]
+            link = await _connect(fleet, leader)
+            fleet.cut(leader, others=fleet.others(leader))
+            await fakes.until(lambda: not process.replica.holds_lease())
+            before = len(process.service.tasks)
+            for _ in range(500):
+                link.send(messages.Heartbeat(1, _NODE, 5))
+            last = asyncio.create_task(
+                link.request(messages.Heartbeat(0, _NODE, 5), 30.0)
+            )
+            most = 0
+            while not last.done():
+                most = max(most, len(process.service.tasks) - before)
+                await asyncio.sleep(0)
+            reply = last.result()
+            assert isinstance(reply, messages.HeartbeatReply)
+            assert not reply.is_fresh
+            assert most <= 1
+
+    asyncio.run(run())
+
+
+def test_session_ends_with_its_link(tmp_path: pathlib.Path) -> None:
+    """Guards against a session that outlives its link.
+
+    The link ends right behind a heartbeat. A session left over would hold
+    up a planned stop, which waits for all sessions to move.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            leader = await fleet.leader()
+            service = fleet.control[leader].service
+            for _ in range(20):
+                link = await _connect(fleet, leader)
+                link.send(messages.Heartbeat(1, _NODE, 5))
+                link.close()
+            await fakes.until(
+                lambda: (
+                    not any(each.peer_id == _NODE for each in service.links)
+                ),
+                'all links ended',
+            )
+            await asyncio.sleep(0)
+            assert not service.sessions.open
+
+    asyncio.run(run())
+
+
+def test_node_that_does_not_read(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against updates that pile up for a node that reads slowly.
+
+    Its heartbeats must not be called fresh while it lacks an update. When it
+    reads again, one update brings it up to date.
+    """
+    bound = 16 * 1024
+    monkeypatch.setattr(sessions_module, '_MAX_UNSENT_BYTES', bound)
+    text = harness.FIRST_NOTE + ''.join(
+        f'[[added.workspaces]]\nname = "w{i}"\nrate = 1\nburst = 9\n'
+        for i in range(500)
+    )
+    updates: list[messages.StateUpdate] = []
+
+    async def keep(message: messages.Message) -> None:
+        if isinstance(message, messages.StateUpdate):
+            updates.append(message)
+
+    async def run() -> None:
+        async with harness.running(tmp_path, text=text) as fleet:
+            leader = await fleet.leader()
+            process = fleet.control[leader]
+            link = await _connect(fleet, leader, keep)
+            await link.request(messages.Heartbeat(0, _NODE, 5), 10.0)
+            (session,) = process.service.sessions.open.values()
+            for each, name in (
+                (link, socket.SO_RCVBUF),
+                (session.link, socket.SO_SNDBUF),
+            ):
+                found = each.writer.transport.get_extra_info('socket')
+                found.setsockopt(socket.SOL_SOCKET, name, 4096)
+            link.writer.transport.pause_reading()  # type: ignore
+            size = len(messages.encode(process.machine.full_update()))
+            most = number = 1
+            while session.sent_index == process.machine.applied_index:
+                number += 1
+                assert number < 500, 'the socket never filled'
+                await fleet.apply_note(
+                    harness.rate_note(number, 500.0, 1000 + number)
+                )
+                for _ in range(10):
+                    await asyncio.sleep(0.005)
+                    most = max(most, session.link.unsent_bytes)
+            for _ in range(10):
+                number += 1
+                await fleet.apply_note(
+                    harness.rate_note(number, 500.0, 1000 + number)
+                )
+                most = max(most, session.link.unsent_bytes)
+            assert most <= bound + 2 * size
+            beat = asyncio.create_task(
+                link.request(messages.Heartbeat(0, _NODE, 5), 30.0)
+            )
+            await fakes.until(lambda: session.waiting is None)
+            await asyncio.sleep(0.1)
+            link.writer.transport.resume_reading()  # type: ignore
+            await beat
+            await link.request(messages.Heartbeat(0, _NODE, 5), 10.0)
+            assert updates[-1].configuration.number == number
+
+    asyncio.run(run())
+
+
+def test_stale_reply_while_an_update_is_held_back(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a lease on a state that was not sent (R3, R10)."""
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            leader = await fleet.leader()
+            link = await _connect(fleet, leader)
+            first = await link.request(messages.Heartbeat(0, _NODE, 5), 9.0)
+            assert isinstance(first, messages.HeartbeatReply)
+            assert first.is_fresh
+            monkeypatch.setattr(sessions_module, '_MAX_UNSENT_BYTES', -1)
+            await fleet.apply_note(harness.withdrawal(2))
+            held = await link.request(messages.Heartbeat(0, _NODE, 5), 9.0)
+            assert isinstance(held, messages.HeartbeatReply)
+            assert not held.is_fresh
+            monkeypatch.undo()
+            last = await link.request(messages.Heartbeat(0, _NODE, 5), 9.0)
+            assert isinstance(last, messages.HeartbeatReply)
+            assert last.is_fresh
+
+    asyncio.run(run())
+
+
+def test_soft_state_of_a_new_leader(tmp_path: pathlib.Path) -> None:
+    """Guards against a new leader that grants or expires too early.
+
+    Its ledger starts at level 0 with half of the burst for one lifetime, and
+    every member gets its whole time. The former leader, cut off, grants
+    nothing.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1', 'n2') as fleet:
+            former = await fleet.leader()
+            others = fleet.others(former)
+            starts: list[
+                tuple[str, float, float, float, dict[object, float]]
+            ] = []
+
+            def watch(process: harness.Process) -> None:
+                duties = process.service.leadership
+                inner = duties.on_role_change
+
+                def on_role_change(is_leader: bool) -> None:
+                    inner(is_leader)
+                    if is_leader:
+                        bucket = duties.ledger._buckets['w']
+                        starts.append(
+                            (
+                                process.slot,
+                                bucket.filled_at,
+                                bucket.level,
+                                bucket.settled_at,
+                                dict(duties.liveness.last),
+                            )
+                        )
+
+                process.replica.on_role_change = on_role_change
+
+            for slot in others:
+                watch(fleet.control[slot])
+            cut_at = clock.now()
+            fleet.cut(former, others=others)
+            await fakes.until(lambda: fleet.leader_slot() in others)
+            slot, started, level, settled, last = starts[-1]
+            assert slot in others
+            assert level == 0
+            lifetime_s = (
+                fleet.control[slot].service.options.grant_lifetime_ms / 1000
+            )
+            assert settled >= started + lifetime_s
+            assert {name for name, _ in last} == {'n1', 'n2'}  # type: ignore
+            assert min(last.values()) >= cut_at
+            with pytest.raises(errors.ControlError) as caught:
+                fleet.control[former].service.leadership.grant(
+                    messages.GrantRequest(
+                        0,
+                        _NODE,
+                        5,
+                        [messages.Want(messages.WorkspaceName('w'), 0, 1, 1)],
+                    ),
+                    clock.now(),
+                )
+            assert caught.value.kind is errors.ErrorKind.NOT_LEADER
+
+    asyncio.run(run())
+
+
+def test_requests_without_a_leader(tmp_path: pathlib.Path) -> None:
+    """Guards against requests that hang or end a process."""
+    requests: list[tuple[messages.Message, errors.ErrorKind]] = [
+        (
+            messages.Propose(0, messages.encode(messages.Drain(_NODE, True))),
+            errors.ErrorKind.NOT_LEADER,
+        ),
+        (
+            messages.GrantRequest(0, _NODE, 5, []),
+            errors.ErrorKind.NOT_LEADER,
+        ),
+        (
+            messages.Query(0, messages.QueryKind.STATUS),
+            errors.ErrorKind.CONTROL_LOST,
+        ),
+        (messages.BarrierRequest(), errors.ErrorKind.NOT_LEADER),
+    ]
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            async with _leaderless(fleet) as process:
+                link = await _connect(fleet, process.slot)
+                for request, kind in requests:
+                    with pytest.raises(errors.ControlError) as caught:
+                        await link.request(request, 10.0)
+                    assert caught.value.kind is kind
+                    assert caught.value.detail
+                follower = await _connect(fleet, fleet.others(process.slot)[0])
+                with pytest.raises(errors.ControlError) as caught:
+                    # It still takes the former leader for the leader.
+                    await follower.request(requests[0][0], 10.0)
+                assert caught.value.kind is errors.ErrorKind.CONTROL_LOST
+                assert process.slot in caught.value.detail
+                reply = await link.request(
+                    messages.Heartbeat(0, _NODE, 5), 10.0
+                )
+                assert isinstance(reply, messages.HeartbeatReply)
+                assert not reply.is_fresh
+            await fleet.apply_note(harness.rate_note(2, 1.0, 1))
+            reply = await link.request(
+                messages.Query(0, messages.QueryKind.STATUS), 10.0
+            )
+            assert isinstance(reply, messages.QueryReply)
+
+    asyncio.run(run())
+
+
+def test_garbage_and_unknown_requests(tmp_path: pathlib.Path) -> None:
+    """Guards against bytes that end more than their own link."""
+
+    async def run() -> None:
+        async with harness.running(tmp_path, 'n1') as fleet:
+            leader = await fleet.leader()
+            link = await _connect(fleet, leader)
+            # Messages without a number cannot be answered.
+            for stray in (messages.Hello(), messages.Claim()):
+                link.send(stray)
+            for request in (
+                messages.SnapshotChunk(),
+                messages.AppendRequest(),
+                messages.VoteRequest(),
+            ):
+                with pytest.raises(errors.ControlError) as caught:
+                    await link.request(request, 9.0)
+                assert caught.value.kind is errors.ErrorKind.NOT_ADMITTED
+            reply = await link.request(messages.Propose(0, b'garbage'), 9.0)
+            assert isinstance(reply, messages.ProposeReply)
+            result = messages.decode(reply.result)
+            assert isinstance(result, messages.CommandResult)
+            assert not result.is_accepted
+            for garbage in (
+                b'\xff' * 64,
+                b'\0\0\0\x08' + b'\xfe' * 8,
+                b'\0\0\0\0',
+            ):
+                bad = await _connect(fleet, leader)
+                bad.writer.write(garbage)
+                await fakes.until(
+                    lambda bad=bad: bad.is_closed,  # type: ignore
+                    'the link is closed',
+                )
+            assert not link.is_closed
+            await fleet.apply_note(harness.rate_note(2, 500.0, 702))
+            await fleet.in_force(2)
+            assert len(fleet.control) == 3
+            for process in fleet.control.values():
+                assert process.replica.failure is None
+
+    asyncio.run(run())
