Say which leader gave no reply

Cause: a follower whose leader is gone passed on the error of its own link, 'The link to the owner node broke.', which names no replica and sounds like the link of the asker. Change: the follower answers control_lost, 'The leader c1 gave no reply.'. Conclusion: an operator sees which process is gone.

--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -174,7 +174,15 @@
                 'There is no leader just now.',
                 _RETRY_AFTER_MS,
             )
-        return await link.request(request, _REQUEST_TIMEOUT_S)
+        try:
+            return await link.request(request, _REQUEST_TIMEOUT_S)
+        except errors.LinkError as e:
+            # To the asker it is not a link of its own that broke.
+            raise errors.ControlError(
+                errors.ErrorKind.CONTROL_LOST,
+                f'The leader {link.peer_id} gave no reply.',
+                _RETRY_AFTER_MS,
+            ) from e
 
     async def _propose(self, request: messages.Propose) -> _Reply:
         if self.replica.is_leader:
