Let calls wait for tokens while a new ledger fills

After an error the node asked again only after 0.2 s of the 0.3 s that a call waits. Change: for one grant lifetime after its start the leader grants what it has and refuses nothing; a node whose calls got no token asks again after 50 ms. A connection attempt of a session costs half a lease at most.

--- a/godwitstall/control/leadership.py
+++ b/godwitstall/control/leadership.py
@@ -53,6 +53,8 @@
         self.ledger_index = -1
         # Whether the soft state was started for the present term.
         self.is_started = False
+        # When the ledger has been filled for a lifetime in this term, seconds.
+        self.settled_at = 0.0
         replica.on_role_change = self.on_role_change
         machine.on_change.append(self.on_change)
 
@@ -63,6 +65,7 @@
             return
         now = clock.now()
         self.ledger.start_term(now)
+        self.settled_at = now + self.options.grant_lifetime_ms / 1000
         current = self.machine.configuration.configuration
         self.workspace_names = {
             workspace.name for workspace in current.workspaces
@@ -106,6 +109,12 @@
         for grant in grants:
             if grant.tokens:
                 _GRANTED.inc(grant.tokens, workspace=grant.workspace)
+            if now < self.settled_at and grant.workspace in (
+                self.workspace_names
+            ):
+                # The level started at 0, so a lack of tokens does not show
+                # that the rate is used up; calls wait instead.
+                grant.retry_after_ms = 0
         return grants
 
     def on_report(
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -37,6 +37,12 @@
 _RECONNECT_MIN_S = 0.05
 _RECONNECT_MAX_S = 1.0
 
+# Time before tokens are asked for again when a call waits and the last
+# request brought none, seconds. There is no leader then, or a new one with an
+# empty ledger. A call waits 0.3 s at most, so the ordinary interval of 0.2 s
+# would leave it no third try during a change of leader.
+_RETRY_GRANT_S = 0.05
+
 # One try of a command; a lost reply is found out after this long, seconds.
 _PROPOSE_TRY_S = 2.0
 
@@ -103,7 +109,12 @@
     async def _serve(self, slot: str) -> None:
         local_host, _ = link_module.split_address(self.options.link_address)
         link = await link_module.connect(
-            self.fleet.control[slot], self.identity, local_host=local_host
+            self.fleet.control[slot],
+            self.identity,
+            # A replica that does not answer must leave time for another one
+            # before the lease ends.
+            min(link_module.HANDSHAKE_TIMEOUT_S, self.options.lease_s / 2),
+            local_host,
         )
         self.link = link
         self.slot = slot
@@ -215,10 +226,17 @@
             # No leader just now; the next request comes soon.
             _LOG.debug('No tokens: %s', e)
             self.allowance.on_lost()
-            await asyncio.sleep(self.options.grant_interval_ms / 1000)
+            pause_s = self.options.grant_interval_ms / 1000
+            if self.allowance.needs_grant_now():
+                pause_s = min(pause_s, _RETRY_GRANT_S)
+            await asyncio.sleep(pause_s)
             return
         if isinstance(reply, messages.GrantReply):
             self.allowance.on_reply(sent_at, wants, reply.grants, clock.now())
+            if self.allowance.needs_grant_now() and not any(
+                grant.tokens for grant in reply.grants
+            ):
+                await asyncio.sleep(_RETRY_GRANT_S)
 
     async def propose(
         self, command: messages.Message, timeout_s: float
