Raise a start number that control refuses

Cause: a node ignored the answer to its Join. After its wall clock was set back, or when its first state came from a replica that was behind, control refused its start number and it never became a member again. Ruled out: reading the number from the text of the refusal. Change: a node that was never a member in this run raises its number in doubling steps; one that was a member only logs, so that two processes with one id do not expel each other. Conclusion: a Join that is refused at the start heals itself.

--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -37,6 +37,10 @@
 _RECONNECT_MIN_S = 0.05
 _RECONNECT_MAX_S = 1.0
 
+# First step by which a refused start number is raised; each next step is
+# twice as long, so that a clock set back by a day costs 17 tries.
+_INCARNATION_STEP = 1000
+
 # Time before tokens are asked for again when a call waits and the last
 # request brought none, seconds. There is no leader then, or a new one with an
 # empty ledger. A call waits 0.3 s at most, so the ordinary interval of 0.2 s
@@ -70,6 +74,8 @@
         self.lease_until = 0.0
         # Start number of this process, chosen above the one control knows.
         self.incarnation = 0
+        # Next step by which a refused start number is raised.
+        self.incarnation_step = _INCARNATION_STEP
         # Set when a call waits for a token.
         self.grant_wanted = asyncio.Event()
         # When the release note in force arrived, seconds of clock.now().
@@ -157,6 +163,11 @@
         last = known.incarnation if known is not None else 0
         return max(clock.wall_ms(), last + 1)
 
+    def raise_incarnation(self) -> None:
+        """Choose a higher start number, since control refused this one."""
+        self.incarnation += self.incarnation_step
+        self.incarnation_step *= 2
+
     async def _beat(self, link: link_module.Link) -> None:
         while True:
             sent_at = clock.now()
--- a/godwitstall/node/membership.py
+++ b/godwitstall/node/membership.py
@@ -82,9 +82,27 @@
             if command is None:
                 continue
             try:
-                await self.session.propose(command, _COMMAND_TIMEOUT_S)
+                result = await self.session.propose(
+                    command, _COMMAND_TIMEOUT_S
+                )
             except errors.GodwitstallError as e:
                 _LOG.warning('Membership could not be updated: %s', e)
+                continue
+            if isinstance(result, messages.CommandResult):
+                self._on_result(command, result)
+
+    def _on_result(
+        self, command: messages.Message, result: messages.CommandResult
+    ) -> None:
+        if result.is_accepted:
+            self.has_joined |= isinstance(command, messages.Join)
+            return
+        _LOG.warning('Membership was refused: %s', result.detail)
+        # The wall clock was set back, or the first state came from a replica
+        # that was behind. After the first Join a refusal means that another
+        # process has taken the node id, and that one stays.
+        if isinstance(command, messages.Join) and not self.has_joined:
+            self.session.raise_incarnation()
 
     def _next_command(self) -> messages.Message | None:
         wanted = self.wanted()
