Give an expired member that joins again its whole time

Cause: the table of the leader kept the old time of an expired process; a Join through a follower could come before the report of its heartbeats, and the process could be expired once more. Ruled out: no test showed this race; it was found by reading. Change: the leader forgets the time of the processes that it expired. Conclusion: the table treats a second Join like a first one.

--- a/godwitstall/control/leadership.py
+++ b/godwitstall/control/leadership.py
@@ -162,6 +162,10 @@
         await self.replica.propose(
             messages.encode(messages.Expire(silent)), _TIMEOUT_S
         )
+        for beat in silent:
+            # A process that joins again gets the whole time: the report of
+            # its heartbeats may come after its Join.
+            self.liveness.forget(beat.node_id, beat.incarnation)
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the dump."""
--- a/godwitstall/members/liveness.py
+++ b/godwitstall/members/liveness.py
@@ -49,6 +49,10 @@
         # Reports of followers may arrive out of order.
         self.last[key] = max(now - age_s, self.last.get(key, now - age_s))
 
+    def forget(self, node_id: messages.NodeId, incarnation: int) -> None:
+        """Forget a process that was expired; it may join again."""
+        self.last.pop((node_id, incarnation), None)
+
     def silent(self, now: float) -> list[messages.NodeBeat]:
         """Return the members to expire.
 
