--- a/godwitstall/admin.py
+++ b/godwitstall/admin.py
@@ -37,7 +37,8 @@
             {'healthy': healthy}, status_code=200 if healthy else 503
         )
 
-    # litestar's logging set-up would close the handlers of the process.
+    # litestar's logging set-up would close the handlers of the process and
+    # start a thread.
     return litestar.Litestar(
         [serve_metrics, serve_state, serve_health],
         logging_config=None,
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -69,6 +69,8 @@
     answer: upstream_client.UpstreamAnswer | None
     # One sentence for people.
     detail: str
+    # No process listens where the upstream did.
+    is_refused: bool = False
 
 
 class Owner:
@@ -254,6 +256,10 @@
         if found is not None:
             return found
         try:
+            # The claim has just been in contact with control, so the view
+            # cannot be behind the entry node's.
+            if call.key_id and self.view.key_by_id(call.key_id) is None:
+                raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
             answer = await self._dispatch(call, deadline)
         except errors.RequestError as e:
             if errors.ANSWERS[e.kind].outcome is errors.Outcome.NOT_RUN:
@@ -293,6 +299,8 @@
             self.contexts.close(entry)
         ended = clock.now()
         self._learn(outcome, ended - now, ended)
+        if outcome.is_refused:
+            self.upstream.mark_dead(incarnation)
         if outcome.kind is errors.ErrorKind.UPSTREAM_LOST:
             self.crash_watch.note(call, incarnation, client)
         return self._to_answer(call, entry, outcome)
@@ -310,7 +318,8 @@
                 call.method, call.path, block, call.body, deadline
             )
         except errors.RequestError as e:
-            return _Dispatched(e.kind, None, e.detail)
+            is_refused = isinstance(e.__cause__, ConnectionRefusedError)
+            return _Dispatched(e.kind, None, e.detail, is_refused)
         echo = upstream_client.find_header(answer.headers, headers.CONTEXT)
         if echo is not None and echo != entry.token.encode():
             _LOG.warning('Upstream gave the answer of another request.')
--- a/tests/control/test_rates_over_nodes.py
+++ b/tests/control/test_rates_over_nodes.py
@@ -7,7 +7,6 @@
 import typing
 from unittest import mock
 
-from godwitstall import clock
 from godwitstall.rates import allowance
 from loadtool import http_client
 from tests.control import harness
--- a/tests/rates/test_rates.py
+++ b/tests/rates/test_rates.py
@@ -110,8 +110,8 @@
     [
         (5.0, 9.0, 1, None, 0),
         (5.0, 9.0, 0, errors.ErrorKind.RATE_EXCEEDED, 700),
-        (0.01, 9.0, None, errors.ErrorKind.CONTROL_LOST, 0),
-        (5.0, 0.01, None, errors.ErrorKind.DEADLINE_PASSED, 0),
+        (0.01, 9.0, None, errors.ErrorKind.CONTROL_LOST, 1000),
+        (5.0, 0.01, None, errors.ErrorKind.DEADLINE_PASSED, 1000),
     ],
 )
 def test_take(
