End a failed control process at once

Change: the program waits for Replica.wait_failed() instead of looking at the replica each half second. A refused Join is sent again at once. Conclusion: no polling is left in the program.

--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import signal
 import sys
@@ -48,9 +47,6 @@
 
 _ADMIN_STOP_S = 1.0
 
-# Time between two looks at the replica, seconds.
-_FAILURE_CHECK_S = 0.5
-
 
 async def run(
     options: settings.ControlOptions, fleet: settings.FleetOptions
@@ -84,10 +80,9 @@
     await service.start(fleet.control[options.slot])
     await server.start()
     _LOG.info('Replica %s started.', options.slot)
-    while not wanted.is_set() and replica.failure is None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_FAILURE_CHECK_S):
-                await wanted.wait()
+    watch = asyncio.create_task(_set_at_failure(replica, wanted))
+    await wanted.wait()
+    watch.cancel()
     _LOG.info('Replica %s is stopping.', options.slot)
     await service.stop()
     await server.stop(_ADMIN_STOP_S)
@@ -96,6 +91,13 @@
         raise errors.StorageError(f'The replica failed: {replica.failure}')
 
 
+async def _set_at_failure(
+    replica: replica_module.Replica, wanted: asyncio.Event
+) -> None:
+    await replica.wait_failed()
+    wanted.set()
+
+
 def main() -> None:
     """Entry point of the console script."""
     words = command_line.parse(_PROGRAM, _USAGE, _FLAGS, sys.argv)
--- a/godwitstall/node/membership.py
+++ b/godwitstall/node/membership.py
@@ -103,6 +103,7 @@
         # process has taken the node id, and that one stays.
         if isinstance(command, messages.Join) and not self.has_joined:
             self.session.raise_incarnation()
+            self.changed.set()
 
     def _next_command(self) -> messages.Message | None:
         wanted = self.wanted()
