--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -316,7 +316,8 @@
         """Planned stop of one process; waits for its end."""
         process = self.processes[name]
         process.terminate()
-        await asyncio.wait_for(process.wait(), _STOP_TIMEOUT_S)
+        async with asyncio.timeout(_STOP_TIMEOUT_S):
+            await process.wait()
 
     async def kill(self, name: str) -> None:
         """Kill one process at once."""
