--- a/godwitstall/consensus/follower.py
+++ b/godwitstall/consensus/follower.py
@@ -133,12 +133,13 @@
             return len(have)
         have += chunk.data
         if chunk.is_last:
-            data = bytes(have)
             self._incoming = _Incoming()
             try:
-                header, state = storage.unpack_snapshot(data, 'The snapshot')
+                header, state = await asyncio.to_thread(
+                    storage.unpack_snapshot, have, 'The snapshot'
+                )
             except errors.StorageError as e:
                 _LOG.warning('Refused a snapshot from %s: %s', chunk.slot, e)
                 return 0
-            await self.replica.install(header, state, data)
+            await self.replica.install(header, state, have)
         return end
--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -179,7 +179,9 @@
             raise errors.LinkError(
                 errors.ErrorKind.INTERNAL, 'There is no snapshot to send.'
             )
-        header, _ = storage.unpack_snapshot(data, 'The newest snapshot')
+        header, _ = await asyncio.to_thread(
+            storage.unpack_snapshot, data, 'The newest snapshot'
+        )
         _LOG.info(
             'Sends the snapshot of entry %d, %d bytes, to %s.',
             header.last_index,
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -22,6 +22,7 @@
 from godwitstall.consensus import follower
 from godwitstall.consensus import log as logmodule
 from godwitstall.consensus import peer as peers
+from godwitstall.consensus import snapshots
 from godwitstall.consensus import storage
 from godwitstall.consensus import voters
 from godwitstall import errors
@@ -35,6 +36,11 @@
 # Entries applied before the event loop may do other work.
 _APPLY_BATCH = 256
 
+# A snapshot is due when the commands since the last one have this share of
+# its size, so that a large state is written about eight times for each time
+# its commands are, and the log in memory stays small beside the state.
+_LOG_SHARE = 8
+
 # A larger command could make an append request that no peer reads, and
 # replication would stop at it.
 MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
@@ -42,19 +48,6 @@
 format_disk = storage.format_disk
 
 
-class StateMachine(typing.Protocol):
-    """What the log drives; called on the event loop, in log order."""
-
-    def apply(self, index: int, time_ms: int, command: bytes) -> bytes:
-        """Apply one command and return its result."""
-
-    def snapshot(self) -> bytes:
-        """Return the whole state."""
-
-    def restore(self, index: int, data: bytes) -> None:
-        """Replace the whole state by that of a snapshot."""
-
-
 class Role(enum.Enum):
     """Part that a replica plays in the current term."""
 
@@ -74,7 +67,7 @@
         options: settings.ControlOptions,
         fleet: settings.FleetOptions,
         identity: links.Identity,
-        machine: StateMachine,
+        machine: snapshots.StateMachine,
     ) -> None:
         self.options = options
         self.fleet = fleet
@@ -123,6 +116,9 @@
         self._is_applying = False
         # Held while a snapshot is written or installed.
         self._snapshot_lock = asyncio.Lock()
+        # Size of the newest snapshot, and of the commands applied after it.
+        self._snapshot_bytes = 0
+        self._applied_bytes = 0
         # Open proposals by index.
         self._proposals: dict[int, _Proposal] = {}
         self._apply_waiters: list[_Waiter] = []
@@ -135,7 +131,7 @@
         options: settings.ControlOptions,
         fleet: settings.FleetOptions,
         identity: links.Identity,
-        machine: StateMachine,
+        machine: snapshots.StateMachine,
     ) -> 'Replica':
         """Return the replica of the settings; start() opens its disk."""
         return cls(options, fleet, identity, machine)
@@ -154,7 +150,8 @@
         """
         header, state = await asyncio.to_thread(self._open)
         if header.last_index:
-            self.machine.restore(header.last_index, state)
+            await snapshots.load(self.machine, header.last_index, state)
+            self._snapshot_bytes = len(state)
         self.voters.reset(header.voters_index, header.voters)
         self.commit_index = self.applied_index = header.last_index
         for entry in self.log.between(header.last_index + 1, 1 << 63):
@@ -176,7 +173,7 @@
         for peer in self.peers.values():
             self._spawn(peer.run())
 
-    def _open(self) -> tuple[messages.SnapshotFile, bytes]:
+    def _open(self) -> tuple[messages.SnapshotFile, bytes | memoryview]:
         self.disk = storage.read_identity(
             self.folder, self.fleet.name, self.slot
         )
@@ -185,7 +182,8 @@
         self.election.stored = vote
         storage.delete_unfinished(self.folder)
         data = storage.read_snapshot(self.folder)
-        header, state = messages.SnapshotFile(), b''
+        header = messages.SnapshotFile()
+        state: bytes | memoryview = b''
         if data is not None:
             header, state = storage.unpack_snapshot(
                 data, f'The newest snapshot in {self.folder}'
@@ -361,7 +359,7 @@
         A snapshot reaches the others as a whole; single changes could leave
         a follower with a part of the voters.
         """
-        state = self.machine.snapshot()
+        state = b''.join(self.machine.freeze())
         header = messages.SnapshotFile(
             last_index=1,
             last_term=self.term,
@@ -377,11 +375,13 @@
         storage.write_snapshot(
             self.folder, 1, storage.pack_snapshot(header, state)
         )
-        self._adopt(header, state)
+        for _ in self.machine.load(header.last_index, state):
+            pass
+        self._adopt(header, len(state))
 
-    def _adopt(self, header: messages.SnapshotFile, state: bytes) -> None:
-        """Put a durable snapshot in force instead of the whole log."""
-        self.machine.restore(header.last_index, state)
+    def _adopt(self, header: messages.SnapshotFile, size: int) -> None:
+        """Go on after a durable snapshot of size bytes that is loaded."""
+        self._snapshot_bytes, self._applied_bytes = size, 0
         self.log.reset(header)
         self.voters.reset(header.voters_index, header.voters)
         self.commit_index = self.applied_index = header.last_index
@@ -534,6 +534,7 @@
             for entry in self.log.between(self.applied_index + 1, last):
                 result = self._apply(entry)
                 self.applied_index = entry.index
+                self._applied_bytes += len(entry.command)
                 future = self._proposals.pop(entry.index, None)
                 if future is not None and not future.done():
                     future.set_result((entry.index, result))
@@ -547,9 +548,8 @@
         if self.applied_index < self.commit_index and self.failure is None:
             self._is_applying = True
             asyncio.get_running_loop().call_soon(self._apply_some)
-        since = self.applied_index - self.log.snapshot_index
         if (
-            since >= self.options.snapshot_entries
+            self._is_snapshot_due()
             and not self._snapshot_lock.locked()
             and self._tasks
         ):
@@ -594,9 +594,9 @@
 
     async def _take_snapshot(self) -> None:
         async with self._snapshot_lock:
-            index = self.applied_index
-            if index - self.log.snapshot_index < self.options.snapshot_entries:
+            if not self._is_snapshot_due():
                 return
+            index = self.applied_index
             voters_index, current = self.voters.at(index)
             header = messages.SnapshotFile(
                 last_index=index,
@@ -605,24 +605,27 @@
                 voters=list(current.values()),
                 voters_index=voters_index,
             )
-            state = self.machine.snapshot()
-            await storage.run_blocking(self._write_snapshot, header, state)
-            self.log.compact(header)
-            _LOG.info(
-                'Took a snapshot of %d bytes at entry %d.', len(state), index
+            covered_bytes = self._applied_bytes
+            size = await snapshots.write(
+                self.folder, header, self.machine.freeze()
             )
+            self.log.compact(header)
+            self._snapshot_bytes = size
+            self._applied_bytes -= covered_bytes
+            _LOG.info('Took a snapshot of %d bytes at entry %d.', size, index)
 
-    def _write_snapshot(
-        self, header: messages.SnapshotFile, state: bytes
-    ) -> None:
-        storage.write_snapshot(
-            self.folder,
-            header.last_index,
-            storage.pack_snapshot(header, state),
+    def _is_snapshot_due(self) -> bool:
+        since = self.applied_index - self.log.snapshot_index
+        return (
+            since >= self.options.snapshot_entries
+            and self._applied_bytes * _LOG_SHARE >= self._snapshot_bytes
         )
 
     async def install(
-        self, header: messages.SnapshotFile, state: bytes, data: bytes
+        self,
+        header: messages.SnapshotFile,
+        state: memoryview,
+        data: bytearray,
     ) -> None:
         """Store a leader's snapshot and put it in force."""
         async with self._snapshot_lock:
@@ -630,7 +633,8 @@
                 storage.write_snapshot, self.folder, header.last_index, data
             )
             _LOG.info('Installs the snapshot of entry %d.', header.last_index)
-            self._adopt(header, state)
+            await snapshots.load(self.machine, header.last_index, state)
+            self._adopt(header, len(state))
             await self.log.sync()
 
     # Reads
--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -102,9 +102,13 @@
         os.close(descriptor)
 
 
-def _replace_file(path: pathlib.Path, data: bytes) -> None:
+def _temporary_path(path: pathlib.Path) -> pathlib.Path:
     # The random part keeps two writers of one name apart.
-    temporary = path.with_name(f'{path.name}.{secrets.token_hex(4)}.tmp')
+    return path.with_name(f'{path.name}.{secrets.token_hex(4)}.tmp')
+
+
+def _replace_file(path: pathlib.Path, data: bytes | bytearray) -> None:
+    temporary = _temporary_path(path)
     with temporary.open('wb') as file:
         file.write(data)
         file.flush()
@@ -221,30 +225,85 @@
 
 
 def unpack_snapshot(
-    data: bytes, name: str
-) -> tuple[messages.SnapshotFile, bytes]:
-    """Return header and state of a snapshot file.
+    data: bytes | bytearray, name: str
+) -> tuple[messages.SnapshotFile, memoryview]:
+    """Return header and state of a snapshot file; the state is not copied.
 
     Errors: StorageError when the bytes are corrupt; name is for its text.
     """
     if len(data) >= _SNAPSHOT.size:
         crc, length = _SNAPSHOT.unpack_from(data)
         end = _SNAPSHOT.size + length
-        if crc == zlib.crc32(data[_CRC_BYTES:]):
-            header = messages.decode(data[_SNAPSHOT.size : end])
+        view = memoryview(data)
+        if crc == zlib.crc32(view[_CRC_BYTES:]):
+            header = messages.decode(bytes(view[_SNAPSHOT.size : end]))
             if isinstance(header, messages.SnapshotFile):
-                return header, data[end:]
+                return header, view[end:]
     raise errors.StorageError(f'{name} is corrupt. {REPLACE_TEXT}')
 
 
+class SnapshotWriter:
+    """Writes a snapshot file part by part; a crash leaves no snapshot.
+
+    Example:
+        writer = SnapshotWriter(folder, header)
+        writer.write([b'first'])
+        writer.commit()
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, header: messages.SnapshotFile
+    ) -> None:
+        self.folder = folder
+        self.path = _snapshot_path(folder, header.last_index)
+        self.temporary = _temporary_path(self.path)
+        # Bytes written.
+        self.size = 0
+        self._crc = 0
+        self._file = self.temporary.open('wb')
+        self._file.write(bytes(_CRC_BYTES))
+        head = messages.encode(header)
+        self.write([len(head).to_bytes(4, 'big'), head])
+
+    def write(self, parts: list[bytes]) -> None:
+        """Add parts of the state."""
+        for part in parts:
+            self._crc = zlib.crc32(part, self._crc)
+            self._file.write(part)
+            self.size += len(part)
+
+    def commit(self) -> None:
+        """Make the snapshot durable and delete older ones."""
+        self._file.seek(0)
+        self._file.write(self._crc.to_bytes(_CRC_BYTES, 'big'))
+        self._file.flush()
+        os.fsync(self._file.fileno())
+        self._file.close()
+        self.temporary.rename(self.path)
+        sync_folder(self.folder)
+        _delete_older(self.folder, self.path)
+
+    def close(self) -> None:
+        """Delete the file unless it is committed."""
+        if not self._file.closed:
+            self._file.close()
+            self.temporary.unlink()
+
+
 def _snapshot_path(folder: pathlib.Path, index: int) -> pathlib.Path:
     return folder / f'snapshot-{index:020d}.bin'
 
 
-def write_snapshot(folder: pathlib.Path, index: int, data: bytes) -> None:
+def write_snapshot(
+    folder: pathlib.Path, index: int, data: bytes | bytearray
+) -> None:
     """Make a snapshot durable and delete older ones."""
     path = _snapshot_path(folder, index)
     _replace_file(path, data)
+    _delete_older(folder, path)
+
+
+def _delete_older(folder: pathlib.Path, path: pathlib.Path) -> None:
     for other in folder.glob('snapshot-*.bin'):
         if other.name < path.name:
             other.unlink()
--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -7,6 +7,8 @@
 
 import collections
 import collections.abc
+import contextlib
+import itertools
 import logging
 import typing
 
@@ -16,6 +18,7 @@
 from godwitstall.members import registry
 from godwitstall import messages
 from godwitstall.operations import records
+from godwitstall.operations import store as stores
 from godwitstall.quarantine import reports
 from godwitstall import settings
 
@@ -23,6 +26,11 @@
 # one node lease make 900 joins and as many expiries.
 KEPT_CHANGES = 4096
 
+# Bytes before each part of a snapshot that give its length. A snapshot of the
+# former form begins with four zero bytes, which is no length here.
+_LENGTH_BYTES = 4
+_FORMER_START = bytes(_LENGTH_BYTES)
+
 # Slices that a _Change names.
 _CONFIGURATION = 'configuration'
 _MEMBER = 'member'
@@ -164,29 +172,54 @@
             callback()
 
     def snapshot(self) -> bytes:
-        """Return the whole replicated state."""
-        return messages.encode(
+        """Return the whole replicated state in one piece."""
+        return b''.join(self.freeze())
+
+    def freeze(self) -> collections.abc.Generator[bytes, None, None]:
+        """Return the parts of a snapshot of the state as it is now.
+
+        Each part takes under a millisecond, and entries may be applied
+        between two parts. Only operation records are many; the other slices
+        are encoded by the call.
+        """
+        head = messages.encode(
             messages.MachineSnapshot(
                 configuration=self.configuration.to_snapshot(),
                 members=self.members.to_snapshot(),
-                operations=self.operations.to_snapshot(),
                 quarantine=self.quarantine.to_snapshot(),
             )
         )
+        return _parts(head, self.operations.freeze())
 
     def restore(self, index: int, data: bytes) -> None:
+        """Replace the whole state by a snapshot in one piece; see load()."""
+        for _ in self.load(index, data):
+            pass
+
+    def load(
+        self, index: int, data: bytes | memoryview
+    ) -> collections.abc.Generator[None, None, None]:
         """Replace the whole state by a snapshot taken after index.
 
+        Yields between slices of the work. The state changes at the end, in
+        the step that ends the generator.
+
         Errors: LinkError when data is no snapshot; nothing is changed then.
         """
-        snapshot = messages.decode(data)
-        if not isinstance(snapshot, messages.MachineSnapshot):
-            raise errors.LinkError(
-                errors.ErrorKind.BAD_MESSAGE, 'Bytes are no snapshot.'
-            )
+        view = memoryview(data)
+        if view[:_LENGTH_BYTES] == _FORMER_START:
+            snapshot = _decode_head(bytes(view))
+            self.operations.restore(snapshot.operations)
+        else:
+            parts = _split(view)
+            snapshot = _decode_head(bytes(next(parts, b'')))
+            store, time_ms = stores.start_load(next(parts, b''))
+            for part in parts:
+                stores.load_block(store, part)
+                yield
+            self.operations.adopt(store, time_ms)
         self.configuration.restore(snapshot.configuration)
         self.members.restore(snapshot.members)
-        self.operations.restore(snapshot.operations)
         self.quarantine.restore(snapshot.quarantine)
         self.applied_index = index
         self._changes.clear()
@@ -326,6 +359,38 @@
         }
 
 
+def _parts(
+    head: bytes, blocks: collections.abc.Generator[bytes, None, None]
+) -> collections.abc.Generator[bytes, None, None]:
+    """Return the parts of a snapshot, each with its length."""
+    with contextlib.closing(blocks):
+        for block in itertools.chain((head,), blocks):
+            yield len(block).to_bytes(_LENGTH_BYTES, 'big') + block
+
+
+def _split(
+    view: memoryview,
+) -> collections.abc.Generator[memoryview, None, None]:
+    start = 0
+    while start < len(view):
+        body = start + _LENGTH_BYTES
+        start = body + int.from_bytes(view[start:body], 'big')
+        if start > len(view):
+            raise errors.LinkError(
+                errors.ErrorKind.BAD_MESSAGE, 'The snapshot is cut.'
+            )
+        yield view[body:start]
+
+
+def _decode_head(data: bytes) -> messages.MachineSnapshot:
+    snapshot = messages.decode(data)
+    if not isinstance(snapshot, messages.MachineSnapshot):
+        raise errors.LinkError(
+            errors.ErrorKind.BAD_MESSAGE, 'Bytes are no snapshot.'
+        )
+    return snapshot
+
+
 def _view(item: typing.Any, *hidden: str) -> dict[str, typing.Any]:
     """Return the fields of a flat message as JSON values."""
     view = {}
--- a/godwitstall/operations/records.py
+++ b/godwitstall/operations/records.py
@@ -11,13 +11,12 @@
 possible without the record.
 """
 
-import collections
 import collections.abc
 import re
-import sys
 
 from godwitstall import errors
 from godwitstall import messages
+from godwitstall.operations import store as stores
 from godwitstall import settings
 
 # Clocks of clients may be ahead by this much, milliseconds.
@@ -66,15 +65,8 @@
     def __init__(self, lifetime_ms: int) -> None:
         # Time from the time in the id to its expiry, milliseconds.
         self.lifetime_ms = lifetime_ms
-        # Records; outer key workspace, inner key the id in lower case.
-        self.records: dict[
-            messages.WorkspaceName,
-            dict[messages.OperationId, messages.OperationRecord],
-        ] = {}
-        # The same records, the first to expire near the left end.
-        self.order: collections.deque[messages.OperationRecord] = (
-            collections.deque()
-        )
+        # Packed records, the first to expire near the start of the order.
+        self.store = stores.RecordStore()
         # Largest log time seen, wall clock ms.
         self.time_ms = 0
 
@@ -87,7 +79,12 @@
 
     def __len__(self) -> int:
         """Return the number of records held."""
-        return len(self.order)
+        return len(self.store)
+
+    @property
+    def records(self) -> dict[int, dict[int, bytes]]:
+        """Packed records by shard and key."""
+        return self.store.shards
 
     def claim(
         self, command: messages.Claim, time_ms: int, is_member: _IsMember
@@ -112,15 +109,20 @@
                     operation_id=operation_id, workspace=command.workspace
                 ),
             )
-        record = self._find(command.workspace, operation_id)
+        key = self._key(command.workspace, operation_id)
+        record = self._find(key)
         if record is None:
-            record = self._add(command.workspace, operation_id)
-            self._grant(record, command)
-            return messages.ClaimResult(_Verdict.GRANTED, record)
-        record.claims += 1
-        verdict = self._judge(record, command, is_member)
-        if verdict is _Verdict.GRANTED and record.state is _State.RELEASED:
+            record = messages.OperationRecord(
+                operation_id=operation_id, workspace=command.workspace
+            )
+            verdict = _Verdict.GRANTED
             self._grant(record, command)
+        else:
+            record.claims += 1
+            verdict = self._judge(record, command, is_member)
+            if verdict is _Verdict.GRANTED and record.state is _State.RELEASED:
+                self._grant(record, command)
+        self._put(key, record)
         return messages.ClaimResult(verdict, record)
 
     def _judge(
@@ -164,9 +166,12 @@
         self.expire(time_ms)
         operation_id = messages.OperationId(command.operation_id.lower())
         id_ms = time_of(operation_id)
-        record = self._find(command.workspace, operation_id)
         # An expired record may still wait behind one that expires later.
-        if record is None or id_ms is None or self._is_expired(id_ms):
+        if id_ms is None or self._is_expired(id_ms):
+            return _refuse('There is no record of the operation.')
+        key = self._key(command.workspace, operation_id)
+        record = self._find(key)
+        if record is None:
             return _refuse('There is no record of the operation.')
         if record.attempt_id != command.attempt_id:
             return _refuse('Another attempt holds the operation.')
@@ -185,6 +190,7 @@
             if not record.is_truncated:
                 record.headers = command.headers
                 record.body = command.body
+        self._put(key, record)
         return messages.CommandResult(is_accepted=True)
 
     def release(
@@ -206,16 +212,21 @@
             return messages.CommandResult(
                 is_accepted=True, detail='The operation id is expired.'
             )
-        record = self._find(command.workspace, operation_id)
+        key = self._key(command.workspace, operation_id)
+        record = self._find(key)
         if record is None:
-            record = self._add(command.workspace, operation_id)
-            record.attempt_id = command.attempt_id
+            record = messages.OperationRecord(
+                operation_id=operation_id,
+                workspace=command.workspace,
+                attempt_id=command.attempt_id,
+            )
         elif record.attempt_id != command.attempt_id:
             return _refuse('Another attempt holds the operation.')
         if record.state is not _State.RELEASED and (
             not self._end(record, _State.RELEASED)
         ):
             return _refuse(f'The outcome is {record.state.name} already.')
+        self._put(key, record)
         return messages.CommandResult(is_accepted=True)
 
     def lookup(self, operation_id: str) -> list[messages.OperationRecord]:
@@ -224,11 +235,14 @@
         The time is that of the last command, so an id may be shown a little
         longer than its lifetime.
         """
-        key = messages.OperationId(operation_id.lower())
-        id_ms = time_of(key)
+        text = messages.OperationId(operation_id.lower())
+        id_ms = time_of(text)
         if id_ms is None or self._is_expired(id_ms):
             return []
-        found = [records.get(key) for records in self.records.values()]
+        found = [
+            self._find(stores.key_of(number, _id_number(text)))
+            for number in range(len(self.store.workspaces.names))
+        ]
         return [record for record in found if record is not None]
 
     def expire(self, time_ms: int) -> None:
@@ -239,40 +253,32 @@
         claim time + lifetime + 5 min.
         """
         self.time_ms = max(self.time_ms, time_ms)
-        while self.order:
-            record = self.order[0]
-            id_ms = time_of(record.operation_id)
-            if id_ms is not None and not self._is_expired(id_ms):
+        while (key := self.store.first()) is not None:
+            if not self._is_expired(stores.time_of(key)):
                 return
-            self.order.popleft()
-            records = self.records[record.workspace]
-            del records[record.operation_id]
-            if not records:
-                del self.records[record.workspace]
+            self.store.pop_first()
 
     def _is_expired(self, id_ms: int) -> bool:
         return id_ms + self.lifetime_ms < self.time_ms
 
-    def _find(
+    def _key(
         self,
         workspace: messages.WorkspaceName,
         operation_id: messages.OperationId,
-    ) -> messages.OperationRecord | None:
-        records = self.records.get(workspace)
-        return None if records is None else records.get(operation_id)
+    ) -> int:
+        return stores.key_of(
+            self.store.workspaces.number_of(workspace),
+            _id_number(operation_id),
+        )
 
-    def _add(
-        self,
-        workspace: messages.WorkspaceName,
-        operation_id: messages.OperationId,
-    ) -> messages.OperationRecord:
-        record = messages.OperationRecord(
-            operation_id=operation_id,
-            workspace=messages.WorkspaceName(sys.intern(workspace)),
+    def _find(self, key: int) -> messages.OperationRecord | None:
+        packed = self.store.get(key)
+        return (
+            None if packed is None else stores.unpack(self.store, key, packed)
         )
-        self.records.setdefault(record.workspace, {})[operation_id] = record
-        self.order.append(record)
-        return record
+
+    def _put(self, key: int, record: messages.OperationRecord) -> None:
+        self.store.put(key, stores.pack(self.store, key, record))
 
     def _grant(
         self, record: messages.OperationRecord, command: messages.Claim
@@ -283,11 +289,10 @@
         record.claims = max(record.claims, 1)
         record.request_digest = command.request_digest
         record.attempt_id = command.attempt_id
-        # The same few names stand in all records.
-        record.node_id = messages.NodeId(sys.intern(command.node_id))
+        record.node_id = command.node_id
         record.incarnation = command.incarnation
-        record.upstream = sys.intern(command.upstream)
-        record.route_name = sys.intern(command.route_name)
+        record.upstream = command.upstream
+        record.route_name = command.route_name
 
     def _end(
         self,
@@ -300,23 +305,32 @@
         record.ended_ms = self.time_ms
         return True
 
-    def to_snapshot(self) -> messages.OperationsSnapshot:
-        """Return the replicated state."""
-        return messages.OperationsSnapshot(
-            records=list(self.order), time_ms=self.time_ms
-        )
+    def freeze(self) -> collections.abc.Generator[bytes, None, None]:
+        """Return the blocks of a snapshot of the state as it is now.
+
+        The state may change while the blocks are read; close the generator
+        when it is not read to its end.
+        """
+        return self.store.freeze(self.time_ms)
+
+    def adopt(self, store: stores.RecordStore, time_ms: int) -> None:
+        """Replace the state by that of a loaded snapshot."""
+        self.store = store
+        self.time_ms = time_ms
 
     def restore(self, snapshot: messages.OperationsSnapshot) -> None:
-        """Replace the state by that of a snapshot."""
-        self.time_ms = snapshot.time_ms
-        self.order = collections.deque(snapshot.records)
-        self.records = {}
+        """Replace the state by that of a snapshot with records as messages.
+
+        Snapshots had that form before records were packed.
+        """
+        self.adopt(stores.RecordStore(), snapshot.time_ms)
         for record in snapshot.records:
-            for name in ('workspace', 'node_id', 'upstream', 'route_name'):
-                setattr(record, name, sys.intern(getattr(record, name)))
-            self.records.setdefault(record.workspace, {})[
-                record.operation_id
-            ] = record
+            self._put(self._key(record.workspace, record.operation_id), record)
+
+
+def _id_number(operation_id: messages.OperationId) -> int:
+    """Return a canonical UUID as a number."""
+    return int(operation_id.replace('-', ''), 16)
 
 
 def _refuse(detail: str) -> messages.CommandResult:
--- a/tests/consensus/fleet.py
+++ b/tests/consensus/fleet.py
@@ -28,11 +28,19 @@
         self.commands.append(command)
         return b'did ' + command
 
-    def snapshot(self) -> bytes:
-        return b'\n'.join(self.commands)
+    def freeze(self) -> collections.abc.Generator[bytes, None, None]:
+        commands = list(self.commands)
+        return (
+            (b'\n' if place else b'') + command
+            for place, command in enumerate(commands)
+        )
 
-    def restore(self, index: int, data: bytes) -> None:
-        self.commands = data.split(b'\n') if data else []
+    def load(
+        self, index: int, data: bytes | memoryview
+    ) -> collections.abc.Generator[None, None, None]:
+        yield
+        text = bytes(data)
+        self.commands = text.split(b'\n') if text else []
 
 
 def free_addresses(count: int) -> list[str]:
--- a/tests/operations/test_records.py
+++ b/tests/operations/test_records.py
@@ -9,6 +9,7 @@
 from godwitstall import errors
 from godwitstall import messages
 from godwitstall.operations import records
+from godwitstall.operations import store as stores
 
 _V = messages.ClaimVerdict
 _S = messages.OperationState
@@ -311,11 +312,12 @@
 
     @stateful.rule()
     def move_to_other_replica(self) -> None:
-        data = messages.encode(self.kept.to_snapshot())
+        head, *blocks = self.kept.freeze()
         self.kept = records.OperationRecords(_LIFETIME)
-        self.kept.restore(
-            typing.cast(messages.OperationsSnapshot, messages.decode(data))
-        )
+        store, time_ms = stores.start_load(head)
+        for block in blocks:
+            stores.load_block(store, block)
+        self.kept.adopt(store, time_ms)
 
     @stateful.invariant()
     def same_records(self) -> None:
