--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -1,5 +1,6 @@
 """The machine: replicas agree, nodes converge, garbage is harmless."""
 
+import itertools
 import json
 import typing
 
@@ -12,6 +13,7 @@
 from godwitstall.control import machine
 from godwitstall import errors
 from godwitstall import messages
+from godwitstall.operations import store as stores
 from godwitstall import settings
 
 _T0 = 1_700_000_000_000
@@ -111,6 +113,13 @@
         self.index, self.now = 0, _T0
         self.calls: list[int] = []
         self.first.on_change.append(lambda: self.calls.append(self.index))
+        # Snapshot being taken: its parts, those read, the state in one piece.
+        self.parts: typing.Any = None
+        self.read: list[bytes] = []
+        self.whole = b''
+        # Several blocks for the few records of this test.
+        self.patch = pytest.MonkeyPatch()
+        self.patch.setattr(stores, 'BLOCK_RECORDS', 1)
         # What a node has seen.
         self.node = _decoded(self.first.full_update())
 
@@ -146,6 +155,33 @@
         self.second = _new()
         self.second.restore(self.index, data)
 
+    def teardown(self) -> None:
+        self.patch.undo()
+
+    @stateful.precondition(lambda self: self.parts is None)
+    @stateful.rule()
+    def begin_snapshot(self) -> None:
+        self.whole = self.second.snapshot()
+        self.parts, self.read = self.first.freeze(), []
+
+    @stateful.precondition(lambda self: self.parts is not None)
+    @stateful.rule(count=st.integers(1, 2))
+    def read_parts(self, count: int) -> None:
+        self.read += itertools.islice(self.parts, count)
+
+    @stateful.precondition(lambda self: self.parts is not None)
+    @stateful.rule(command=_COMMANDS)
+    def end_snapshot(self, command: bytes) -> None:
+        """A replica loads it, and applies entries before it is loaded."""
+        data = b''.join([*self.read, *self.parts])
+        assert data == self.whole
+        self.parts = None
+        late = _new()
+        for number, _ in enumerate(late.load(self.index, data)):
+            late.apply(number, self.now + 99_999, command)
+        assert late.snapshot() == data and late.applied_index == self.index
+        assert late.update_since(0).is_full or not self.index
+
     @stateful.rule(is_second=st.booleans())
     def node_reads_changes(self, is_second: bool) -> None:
         replica = self.second if is_second else self.first
@@ -232,8 +268,49 @@
     """Guards against a replica that loses its state to a bad snapshot."""
     replica = _new()
     replica.apply(1, _T0, messages.encode(_note(1, 1)))
+    claim = messages.Claim(
+        messages.OperationId('018bcfe5-6800-7000-8000-000000000000'),
+        attempt_id=messages.AttemptId('A'),
+        node_id=messages.NodeId('n1'),
+    )
+    replica.apply(1, _T0, messages.encode(claim))
     before = replica.snapshot()
-    for data in (b'', messages.encode(messages.Cancel())):
+    other = messages.encode(messages.MachineSnapshot())
+    for data in (
+        b'',
+        messages.encode(messages.Cancel()),
+        before[:-1],
+        before[:20],
+        len(other).to_bytes(4, 'big') + other,
+        before + b'\0\0\0\1x',
+    ):
         with pytest.raises(errors.LinkError):
             replica.restore(9, data)
     assert replica.snapshot() == before and replica.applied_index == 1
+
+
+def test_restore_of_records_as_messages() -> None:
+    """Guards against an upgrade that cannot read the snapshot on the disk."""
+    first, second = _new(), _new()
+    first.apply(1, _T0, messages.encode(_note(1, 1)))
+    record = messages.OperationRecord(
+        messages.OperationId('018bcfe5-6800-7000-8000-000000000000'),
+        messages.WorkspaceName('w'),
+        b'd',
+        messages.AttemptId('A'),
+        messages.NodeId('n1'),
+        claimed_ms=_T0,
+        claims=1,
+    )
+    second.restore(
+        9,
+        messages.encode(
+            messages.MachineSnapshot(
+                configuration=first.configuration.to_snapshot(),
+                operations=messages.OperationsSnapshot([record], _T0),
+            )
+        ),
+    )
+    assert second.full_update().configuration.number == 1
+    assert second.operations.lookup(record.operation_id) == [record]
+    assert second.operations.time_ms == _T0
