Leave onward calls out of what a limit and a stall are judged by

Cause: the owner of siop took the time that its requests spent waiting for stordy for latency of siop: with the deep service overloaded the limit of siop fell from 400 to 323, and a hung deep service would have marked every service above it as stalled after 3 s. Ruled out: a longer baseline (the delay lasts as long as the overload below). Change: the context counts the time with onward calls open; samples of the limit and the stall check use the time without it. A timeout during an onward call is no drop.

--- a/godwitstall/node/context.py
+++ b/godwitstall/node/context.py
@@ -38,6 +38,36 @@
     started_at: float
     # Whether an onward call failed for good.
     has_given_up: bool = False
+    # Onward calls that run now.
+    onward_calls: int = 0
+    # When the present time with onward calls began, or the last one ended.
+    onward_changed_at: float = 0.0
+    # Time spent with at least one onward call, seconds.
+    onward_s: float = 0.0
+
+    def begin_onward(self, now: float) -> None:
+        """Note that an onward call starts."""
+        if not self.onward_calls:
+            self.onward_changed_at = now
+        self.onward_calls += 1
+
+    def end_onward(self, now: float) -> None:
+        """Note that an onward call has ended."""
+        self.onward_calls -= 1
+        if not self.onward_calls:
+            self.onward_s += now - self.onward_changed_at
+            self.onward_changed_at = now
+
+    def own_time_s(self, now: float) -> float:
+        """Return the time that the upstream itself has taken so far.
+
+        Time in onward calls is left out: it tells of the load of services
+        further down and must not lower the limit of this one.
+        """
+        onward_s = self.onward_s
+        if self.onward_calls:
+            onward_s += now - self.onward_changed_at
+        return now - self.started_at - onward_s
 
 
 class Contexts:
@@ -74,8 +104,16 @@
         return self.running.get(token)
 
     def oldest_start(self) -> float | None:
-        """Return when the longest running request started."""
-        if not self.running:
-            return None
-        # Entries are in order of their start.
-        return next(iter(self.running.values())).started_at
+        """Return since when the upstream owes its oldest answer.
+
+        A request that waits for an onward call is not counted, since the
+        delay is not the upstream's own. None when nothing is owed.
+        """
+        return min(
+            (
+                max(entry.started_at, entry.onward_changed_at)
+                for entry in self.running.values()
+                if not entry.onward_calls
+            ),
+            default=None,
+        )
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -312,7 +312,7 @@
         finally:
             self.contexts.close(entry)
         ended = clock.now()
-        self._learn(outcome, ended - now, ended)
+        self._learn(outcome, entry, ended)
         if outcome.is_refused:
             self.upstream.mark_dead(incarnation)
         if outcome.kind in _LOST_KINDS:
@@ -347,12 +347,16 @@
         return _Dispatched(errors.ErrorKind.NONE, answer, '')
 
     def _learn(
-        self, outcome: _Dispatched, latency_s: float, now: float
+        self, outcome: _Dispatched, entry: context.Running, now: float
     ) -> None:
         if outcome.answer is not None:
             self.upstream.on_answer(now)
         self.upstream.limit.on_sample(
-            latency_s, self.running, outcome.kind in _DROP_KINDS, now
+            entry.own_time_s(now),
+            self.running,
+            # A timeout during an onward call is not the upstream's own.
+            outcome.kind in _DROP_KINDS and not entry.onward_calls,
+            now,
         )
 
     def _to_answer(
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -311,12 +311,14 @@
         call.deadline_ms = max(1, int((deadline - now) * 1000))
         attempts = parent.budget.allot(self._attempts(request, route))
         used = attempts
+        parent.begin_onward(now)
         try:
             answer = await self.sender.send(
                 call, route, attempts, deadline, self._is_admitted
             )
             used = answer.attempts_used
         finally:
+            parent.end_onward(clock.now())
             parent.budget.give_back(attempts - used)
         if answer.kind is not errors.ErrorKind.NONE:
             parent.has_given_up = True
