--- /dev/null
+++ b/tests/base/test_limits_of_the_platform.py
@@ -0,0 +1,68 @@
+"""What the platform forbids the product's processes to use."""
+
+import ast
+import pathlib
+
+import pytest
+
+import godwitstall
+
+_PACKAGE = pathlib.Path(godwitstall.__file__).parent
+
+# uvloop's libuv calls io_uring_setup at its start.
+_FORBIDDEN_MODULES = {
+    'concurrent.futures.process',
+    'mmap',
+    'multiprocessing',
+    'pty',
+    'subprocess',
+    'uvloop',
+}
+_FORBIDDEN_CALLS = {
+    'create_subprocess_exec',
+    'create_subprocess_shell',
+    'fork',
+    'forkpty',
+    'popen',
+    'posix_spawn',
+    'spawnv',
+    'system',
+}
+
+
+def _found(tree: ast.AST) -> set[str]:
+    names = set()
+    for node in ast.walk(tree):
+        match node:
+            case ast.Import():
+                names |= {alias.name for alias in node.names}
+            case ast.ImportFrom():
+                names |= {
+                    f'{node.module}.{alias.name}' for alias in node.names
+                }
+                names.add(str(node.module))
+            case ast.Attribute(attr=attr) if attr in _FORBIDDEN_CALLS:
+                names.add(attr)
+    return names & (_FORBIDDEN_MODULES | _FORBIDDEN_CALLS)
+
+
+@pytest.mark.parametrize(
+    'path',
+    sorted(_PACKAGE.rglob('*.py')),
+    ids=lambda path: str(path.relative_to(_PACKAGE)),
+)
+def test_source(path: pathlib.Path) -> None:
+    """Guards against child processes, shared memory and io_uring."""
+    assert not _found(ast.parse(path.read_text('utf-8')))
+
+
+def test_check_finds_what_it_looks_for() -> None:
+    """Guards against a check that finds nothing in any source."""
+    text = 'import uvloop\nfrom multiprocessing import x\nos.fork()\n'
+    assert _found(ast.parse(text)) == {'uvloop', 'multiprocessing', 'fork'}
+
+
+def test_servers_run_on_the_standard_loop() -> None:
+    """Guards against uvicorn choosing uvloop where it is installed."""
+    text = (_PACKAGE / 'http_server.py').read_text('utf-8')
+    assert "loop='asyncio'" in text
