--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -10,6 +10,7 @@
 import pytest
 
 from bench import pages
+from bench import proofs
 from godwitstall.configuration import note as notes
 from godwitstall.ctl import program as ctl_program
 from godwitstall import messages
@@ -137,3 +138,16 @@
             titles = re.findall('^#+ (.*)$', other.read_text(), re.MULTILINE)
             ids = [re.sub('[^a-z0-9 -]', '', t.lower()) for t in titles]
             assert section in [i.replace(' ', '-') for i in ids], target
+
+
+def test_proofs_name_tests_that_exist() -> None:
+    """Guards against a proof that no run can show."""
+    found = proofs.promises(proofs.PAGE.read_text('utf-8'))
+    assert [promise.title.split()[0] for promise in found] == [
+        f'R{number}' for number in range(1, 13)
+    ]
+    for promise in found:
+        for name in promise.tests:
+            path, _, function = name.partition('::')
+            text = (_ROOT / path).read_text('utf-8')
+            assert f'def {function}' in text, name
