Take no closing connection, and count those being opened

Cause: an idle connection whose transport had seen the end of the stream, but had not told the protocol yet, was taken for a request; the transport dropped the bytes and the call was told unknown, which stops retries of operations. Connections being opened did not count against the bound of the upstream.

Ruled out: a check in connection_lost(), which comes one turn too late. Change: the transport is asked whether it closes; opening ones are counted.

Before: test_connections_of_the_upstream got upstream_lost for the request on the closing connection. After: the request goes over a new connection.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -111,6 +111,18 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(errors.RequestError(kind, detail))
 
+    def is_open(self) -> bool:
+        """Return whether a request written now would be sent.
+
+        A transport that has seen the end drops what is written, one turn of
+        the loop before connection_lost() is called.
+        """
+        return (
+            not self.is_closed
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
+
     def close(self) -> None:
         """Close at once; unsent bytes are dropped."""
         self.is_closed = True
@@ -210,6 +222,8 @@
         self.idle: list[_Connection] = []
         # Connections with a request on them.
         self.busy: set[_Connection] = set()
+        # Connections that are being opened for a request.
+        self.opening = 0
 
     async def send(
         self,
@@ -262,14 +276,18 @@
         while self.idle:
             connection = self.idle.pop()
             is_fresh = now - connection.idle_since < IDLE_LIMIT_S
-            if is_fresh and not connection.is_closed:
+            if is_fresh and connection.is_open():
                 return connection
             connection.close()
-        if len(self.busy) >= self.max_connections:
+        if len(self.busy) + self.opening >= self.max_connections:
             raise errors.RequestError(
                 errors.ErrorKind.OVERLOADED, 'All connections are in use.'
             )
-        return await self._open(min(_CONNECT_TIMEOUT_S, deadline - now))
+        self.opening += 1
+        try:
+            return await self._open(min(_CONNECT_TIMEOUT_S, deadline - now))
+        finally:
+            self.opening -= 1
 
     async def _open(self, timeout_s: float) -> _Connection:
         _OPENED.inc()
