Add the cases that trial mutations of the node survived

On a scratch copy each mechanism was taken out in turn. Nothing failed for an attempts header above the route's bound, an operation released after a hang-up, an upstream that leaves during a claim, and a stop that waits neither for the lease nor for running calls. Each has a test now.

--- a/tests/node/test_attempts.py
+++ b/tests/node/test_attempts.py
@@ -328,3 +328,59 @@
             assert sum(len(n.upstream.runs) for n in nodes[2:]) == 3
 
     asyncio.run(run())
+
+
+def _attempts(value: str) -> dict[str, str]:
+    return {'godwitstall-attempts': value} if value else {}
+
+
+def test_attempts_header(tmp_path: pathlib.Path) -> None:
+    """Guards against a header that raises what the route allows."""
+    # Header, and the runs that follow: 3 owners, of which 2 may be tried.
+    cases = [('', 2), ('1', 1), ('2', 2), ('3', 2), ('1000000', 2)]
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path,
+            fakes.note(
+                1,
+                {'dyffryn': (1000, 500)},
+                [
+                    _TWO[0] | {'attempts': 16, 'dispatch_attempts': 16},
+                    _TWO[1] | {'attempts': 2},
+                ],
+            ),
+            _TWO_SERVICES,
+            retry_min_per_s=1000.0,
+        ) as (_, nodes):
+            for node in nodes[2:]:
+                node.upstream.respond = _LOST
+            value = ''
+
+            def responder(node: fakes.NodeHarness) -> fakes.Respond:
+                async def respond(
+                    request: fakes.Received, writer: asyncio.StreamWriter
+                ) -> None:
+                    await node.call_onward(
+                        request, '/second', headers=_attempts(value)
+                    )
+                    await fakes.echo(request, writer)
+
+                return respond
+
+            for node in nodes[:2]:
+                node.upstream.respond = responder(node)
+            for value, runs in cases:
+                for path in ('/second', '/first'):
+                    for node in nodes[2:]:
+                        node.upstream.runs.clear()
+                    if path == '/second':
+                        await nodes[0].call(
+                            path, _KEY, headers=_attempts(value)
+                        )
+                    else:
+                        await nodes[0].call(path, _KEY)
+                    found = sum(len(n.upstream.runs) for n in nodes[2:])
+                    assert found == runs, (value, path)
+
+    asyncio.run(run())
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -239,6 +239,35 @@
     asyncio.run(run())
 
 
+def test_resend_after_a_hang_up(tmp_path: pathlib.Path) -> None:
+    """Guards against a second run after the caller of the first has gone."""
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, _TWO) as (control, nodes):
+            # Through both nodes, so that the owner is the entry node or not.
+            for count, entry in enumerate([*nodes, *nodes], 1):
+                for node in nodes:
+                    node.upstream.respond = fakes.never
+                operation = _operation()
+                first = asyncio.create_task(_pay(entry, operation))
+                await fakes.until_equal(lambda: _runs(*nodes), count)
+                first.cancel()
+                await fakes.until(
+                    lambda: not any(n.node.owner.active for n in nodes),
+                    'the run was cancelled',
+                )
+                for node in nodes:
+                    await node.node.claimer.drain(fakes.WAIT_S)
+                    node.upstream.respond = fakes.echo
+                for node in nodes:
+                    resent = await _pay(node, operation)
+                    assert _told(resent) == ('operation_unknown', 'unknown')
+                assert _runs(*nodes) == count
+            assert not _only(control, messages.Release)
+
+    asyncio.run(run())
+
+
 def test_lost_replies_of_control(tmp_path: pathlib.Path) -> None:
     """Guards against a run on a claim whose grant never arrived."""
 
@@ -362,10 +391,11 @@
     asyncio.run(run())
 
 
-def test_key_withdrawn_while_claiming(
-    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize('change', ['key withdrawn', 'draining'])
+def test_change_while_claiming(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, change: str
 ) -> None:
-    """Guards against a run for a key withdrawn while the claim waited."""
+    """Guards against a run that a change during the claim forbids."""
     monkeypatch.setattr(control_session, '_PROPOSE_TRY_S', 0.3)
 
     async def run() -> None:
@@ -373,13 +403,18 @@
             control.is_deaf = True
             task = asyncio.create_task(_pay(node, _operation()))
             await fakes.until(lambda: control.held, 'claim on its way')
-            control.apply_note(
-                'number = 2\n[withdrawn]\nkeys = ["dyffryn-1"]\n'
-            )
+            if change == 'draining':
+                node.stop_announcing()
+                await node.announce(state='draining')
+            else:
+                control.apply_note(
+                    'number = 2\n[withdrawn]\nkeys = ["dyffryn-1"]\n'
+                )
             control.is_deaf = False
             answer = await task
             assert answer.headers['godwitstall-outcome'] == 'not-run'
             assert not _runs(node)
+            assert 'Release' in _only(control, messages.Release)
 
     asyncio.run(run())
 
@@ -498,14 +533,15 @@
 
         self.runner.run(cut())
 
-    @stateful.rule(which=strategies.integers(0, 20))
+    @stateful.rule(which=strategies.integers(1, 3))
     def hang_up(self, which: int) -> None:
-        """A caller hangs up."""
-        if which < len(self.tasks):
+        """One of the last callers hangs up."""
+        if which <= len(self.tasks):
 
             async def cancel() -> None:
-                self.tasks[which][1].cancel()
-                await asyncio.sleep(0.01)
+                self.tasks[-which][1].cancel()
+                # Noticed by the node before the next step.
+                await asyncio.sleep(0.03)
 
             self.runner.run(cancel())
 
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -198,6 +198,47 @@
     asyncio.run(run())
 
 
+def test_connections_of_the_upstream(tmp_path: pathlib.Path) -> None:
+    """Guards against more connections than announced, and closing ones."""
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, {'siop-1': 'siop'}) as (
+            _,
+            [node],
+        ):
+            # The transport has seen the end; nobody was told yet.
+            assert (await node.call('/near/once/1', _KEY)).status == 200
+            client = node.node.upstream.client
+            assert client is not None
+            [connection] = client.idle
+            assert connection.transport is not None
+            connection.transport.close()
+            answer = await client.send(
+                'GET', '/x', b'', b'', connection.idle_since + 20
+            )
+            assert answer.body == b'/x|'
+            client.close()
+            client.max_connections = 3
+            node.upstream.respond = fakes.never
+            await fakes.until_equal(lambda: len(node.upstream.writers), 0)
+            calls = [
+                asyncio.create_task(node.call(f'/near/once/c{n}', _KEY))
+                for n in range(8)
+            ]
+            await fakes.until_equal(lambda: sum(c.done() for c in calls), 5)
+            assert len(node.upstream.writers) == 3
+            for call in calls:
+                if call.done():
+                    refused = call.result()
+                    assert json.loads(refused.body)['error'] == 'overloaded'
+                    told = refused.headers['godwitstall-outcome']
+                    assert told == 'not-run'
+                call.cancel()
+            await asyncio.gather(*calls, return_exceptions=True)
+
+    asyncio.run(run())
+
+
 def _cut_links(node: fakes.NodeHarness, is_own_side: bool) -> None:
     """Break the links from or to a node without a word."""
     if is_own_side:
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -4,6 +4,9 @@
 import pathlib
 import typing
 
+import pytest
+
+from godwitstall import link as link_module
 from godwitstall import messages
 from loadtool import http_client
 from tests import fakes
@@ -131,6 +134,9 @@
                 ),
                 'the caller listener is closed',
             )
+            # Time for a stop that does not wait for it to go wrong.
+            await asyncio.sleep(1.0)
+            assert not stop.done()
             is_free.set()
             assert (await held).status == 200
             await fakes.until(stop.done, 'stopped')
@@ -151,6 +157,36 @@
     asyncio.run(run())
 
 
+def test_stop_that_another_node_does_not_hear_of(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a stop before the lease of an older state has ended."""
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path, _NOTE, {'siop-1': 'siop', 'gwydd-1': 'gwydd'}
+        ) as (control, [entry, stopping]):
+            assert (await entry.call('/far/0', _KEY)).status == 200
+            push = control._push
+
+            def push_to_others(link: link_module.Link) -> None:
+                if link.peer_id != entry.options.node_id:
+                    push(link)
+
+            monkeypatch.setattr(control, '_push', push_to_others)
+            stop = asyncio.create_task(stopping.node.stop())
+            # Its heartbeats say that it misses something, so its lease ends.
+            told = []
+            while not told or told[-1] == 'none':
+                answer = await entry.call('/far/1', _KEY)
+                told.append(answer.headers.get('godwitstall-error', 'none'))
+            assert told[-1] == 'control_lost'
+            assert len(stopping.upstream.runs) == len(told)
+            await stop
+
+    asyncio.run(run())
+
+
 def test_cancellation_together_with_a_reply(tmp_path: pathlib.Path) -> None:
     """Guards against a stop that waits for ever for a task of the session.
 
--- a/tests/node/test_upstream_states.py
+++ b/tests/node/test_upstream_states.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import signal
 
 import pytest
 
@@ -307,8 +308,12 @@
 ]
 
 
-def test_bad_announcements(tmp_path: pathlib.Path) -> None:
+def test_bad_announcements(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Guards against an announcement that stops the node."""
+    # A node whose task fails would end the process of the tests.
+    monkeypatch.setattr(signal, 'raise_signal', lambda number: None)
 
     async def run() -> None:
         async with fakes.running(tmp_path, _NOTE, {'siop-1': 'siop'}) as (
