--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import gc
 import hashlib
 import itertools
 import json
@@ -539,6 +540,11 @@
     services holds the service of each node by node id. Every node knows all
     others when the body starts.
     """
+    # Exceptions that no task or future passed on, and failed callbacks.
+    unseen: list[dict[str, typing.Any]] = []
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, details: unseen.append(details)
+    )
     control = control or FakeControl()
     await control.start()
     control.apply_note(text)
@@ -568,6 +574,9 @@
     finally:
         await asyncio.gather(*(node.stop() for node in nodes))
         await control.stop()
+    # Such exceptions are told when their task or future is collected.
+    gc.collect()
+    assert not unseen, unseen
 
 
 def note(
