--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -176,7 +176,7 @@
             monkeypatch.setattr(control, '_push', push_to_others)
             stop = asyncio.create_task(stopping.node.stop())
             # Its heartbeats say that it misses something, so its lease ends.
-            told = []
+            told: list[str] = []
             while not told or told[-1] == 'none':
                 answer = await entry.call('/far/1', _KEY)
                 told.append(answer.headers.get('godwitstall-error', 'none'))
