--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -226,6 +226,8 @@
                 for n in range(8)
             ]
             await fakes.until_equal(lambda: sum(c.done() for c in calls), 5)
+            # The upstream sees a connection after the node has opened it.
+            await fakes.until_equal(lambda: len(node.upstream.runs) - 2, 3)
             assert len(node.upstream.writers) == 3
             for call in calls:
                 if call.done():
