Sharpen the tests of planned stops

Cause: three trials passed unseen: a control process that hands nothing over, one that tells its nodes nothing, and a node that stops at once. Elections, quick sessions and second tries hid them. Change: no replica stands for election by itself in the test, all sessions must have moved before a replica ends, and the calls across nodes have one attempt.

--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -258,6 +258,18 @@
         leader = await self.leader()
         return next(slot for slot in sorted(self.control) if slot != leader)
 
+    def forbid_elections(self) -> None:
+        """Let no replica stand by itself from now on.
+
+        Leadership moves only when a leader hands it over.
+        """
+        times = {'election_min_s': 100.0, 'election_max_s': 200.0}
+        self.options |= times
+        for process in self.control.values():
+            for name, value in times.items():
+                setattr(process.replica.options, name, value)
+            process.replica.election.defer()
+
     def cut(self, *ends: str, others: collections.abc.Iterable[str]) -> None:
         """Cut the wires between ends and others, in both directions."""
         self._switch(ends, others, is_open=False)
@@ -454,6 +466,13 @@
             'idempotent': True,
             'attempts': 3,
         },
+        {
+            'name': 'once',
+            'path_prefix': '/once',
+            'methods': ['GET'],
+            'service': 'siop',
+            'attempts': 1,
+        },
         {
             'name': 'open',
             'path_prefix': '/open',
--- a/tests/control/test_members_over_nodes.py
+++ b/tests/control/test_members_over_nodes.py
@@ -1,10 +1,14 @@
 """R8 and R9: members that go get no work, and a planned stop cuts none."""
 
 import asyncio
+import collections.abc
 import pathlib
 import typing
 
+import pytest
+
 from godwitstall import clock
+from godwitstall.control import service as service_module
 from godwitstall import messages
 from godwitstall.node import membership
 from loadtool import http_client
@@ -18,14 +22,18 @@
 class _Callers:
     """Callers of some nodes; every answer but 200 is kept."""
 
-    def __init__(self, *nodes: fakes.NodeHarness) -> None:
+    def __init__(
+        self,
+        *paths: str,
+        nodes: collections.abc.Iterable[fakes.NodeHarness],
+    ) -> None:
         self.done = 0
         self.failed: list[object] = []
         self.is_ending = False
         self.tasks = [
             asyncio.create_task(self._call_always(node, path))
             for node in nodes
-            for path in ('/siop', '/open')
+            for path in paths
         ]
 
     async def _call_always(self, node: fakes.NodeHarness, path: str) -> None:
@@ -218,28 +226,50 @@
 
 
 def test_planned_stop_of_each_control_process(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against a planned stop of control that refuses calls (R9)."""
+    """Guards against a planned stop of control that refuses calls (R9).
+
+    No replica stands for election by itself, so leadership can move only by
+    a hand-over. Every session must have moved before the replica ends.
+    """
+    monkeypatch.setattr(service_module, '_MOVE_TIMEOUT_S', fakes.WAIT_S)
 
     async def run() -> None:
         async with harness.running(
             tmp_path, 'n1', 'n2', 'n3', node_options=_PATIENT
         ) as fleet:
+            left_over: list[int] = []
             gaps: list[str] = []
-            callers = _Callers(*fleet.nodes.values())
+            fleet.forbid_elections()
+            callers = _Callers('/siop', '/open', nodes=fleet.nodes.values())
+            stopped = 0
             for slot in harness.SLOTS:
-                was_leader = fleet.leader_slot() == slot
+                process = fleet.control[slot]
+                stopped += fleet.leader_slot() == slot
                 await callers.more(30)
+                stop_replica = process.replica.stop
+
+                async def stop(
+                    process: harness.Process = process,
+                    inner: collections.abc.Callable[
+                        [], collections.abc.Awaitable[None]
+                    ] = stop_replica,
+                ) -> None:
+                    left_over.append(len(process.service.sessions.open))
+                    await inner()
+
+                monkeypatch.setattr(process.replica, 'stop', stop)
                 await fleet.stop(slot)
-                if was_leader:
-                    assert await fleet.leader() != slot
+                assert await fleet.leader() != slot
                 await callers.more(30)
                 await fleet.start(slot)
                 for name, node in fleet.nodes.items():
                     if not node.node.session.is_fresh(clock.now()):
                         gaps.append(f'{name} after the stop of {slot}')
             await callers.end()
+            assert stopped, 'a leader was stopped'
+            assert left_over == [0, 0, 0]
             assert not gaps
             assert not callers.failed
 
@@ -250,14 +280,14 @@
     """Guards against a planned stop of a node that cuts a call (R9).
 
     Callers use the other nodes, which send a third of their calls to the
-    upstream of the node that stops; slow calls are running there when the
-    stop begins.
+    upstream of the node that stops. Those calls are slow and have one
+    attempt, so a call that is cut cannot be hidden by another try.
     """
 
     async def slow(
         request: fakes.Received, writer: asyncio.StreamWriter
     ) -> None:
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.5 if request.path == '/once' else 0.05)
         await fakes.echo(request, writer)
 
     async def run() -> None:
@@ -269,17 +299,19 @@
                 for each in fleet.nodes.values():
                     each.upstream.respond = slow
                 others = [n for n in fleet.nodes.values() if n is not node]
-                callers = _Callers(*others)
+                callers = _Callers(*['/once'] * 4, nodes=others)
+                await fakes.until(
+                    lambda node=node: node.upstream.runs  # type: ignore
+                )
                 own = [
                     asyncio.create_task(node.call('/siop', 'key-w'))
                     for _ in range(4)
                 ]
-                await callers.more(12)
                 await fakes.until(
-                    lambda node=node: node.upstream.runs  # type: ignore
+                    lambda node=node: node.node.entry.active  # type: ignore
                 )
                 await node.node.stop()
-                await callers.more(12)
+                await callers.more(8)
                 await callers.end()
                 assert not callers.failed
                 assert {a.status for a in await asyncio.gather(*own)} == {200}
