--- a/bench/control_trial.py
+++ b/bench/control_trial.py
@@ -10,6 +10,7 @@
 import asyncio
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import pathlib
 import random
@@ -17,6 +18,7 @@
 import tempfile
 
 from absl import flags
+import httpx
 
 from bench import fleet as fleet_module
 from bench import rate_trial
@@ -121,9 +123,10 @@
         for slot, admin in fleet.control_admin.items():
             if fleet.processes[slot].returncode is not None:
                 continue
-            state = await fleet.state(admin)
-            if state['replica']['holds_lease']:
-                return slot
+            with contextlib.suppress(httpx.HTTPError):
+                state = await fleet.state(admin)
+                if state['replica']['holds_lease']:
+                    return slot
         await asyncio.sleep(0.05)
 
 
