Accept waiting connections before a listener is closed

One turn of the loop before the close does not accept what waits: the continuation runs before the accept events of the same turn, and closing a listener resets what the kernel holds. Ruled out: the time for the last request (the connection was never accepted). Change: stop_accepting() accepts until nothing waits and closes in the same step, then hands the connections to uvicorn's protocol.

--- a/godwitstall/http_server.py
+++ b/godwitstall/http_server.py
@@ -199,7 +199,7 @@
         self.apps_by_address: dict[tuple[str, int], typing.Any] = {}
         self.apps_by_port: dict[int, typing.Any] = {}
         self.sockets: list[socket.socket] = []
-        protocol = type(
+        self.protocol: typing.Any = type(
             'BoundedProtocol',
             (_BoundedProtocol,),
             {'max_header_bytes': max_header_bytes},
@@ -209,7 +209,7 @@
             loop='asyncio',
             interface='asgi3',
             proxy_headers=False,
-            http=protocol,
+            http=self.protocol,
             ws='none',
             lifespan='off',
             log_config=None,
@@ -258,10 +258,27 @@
 
     async def stop_accepting(self, address: str) -> None:
         """Close the listener of an address; open connections stay."""
-        # Connections that wait in the kernel would be reset; one turn of the
-        # loop accepts them.
-        await asyncio.sleep(0)
-        self.server.servers[list(self.apps).index(address)].close()
+        place = list(self.apps).index(address)
+        # Closing the listener resets the connections that wait in the kernel,
+        # so they are taken in the same step.
+        waiting = []
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                waiting.append(self.sockets[place].accept()[0])
+        self.server.servers[place].close()
+        loop = asyncio.get_running_loop()
+        for connection in waiting:
+            await loop.connect_accepted_socket(
+                self._create_protocol, connection
+            )
+
+    def _create_protocol(self) -> asyncio.Protocol:
+        protocol: asyncio.Protocol = self.protocol(
+            config=self.server.config,
+            server_state=self.server.server_state,
+            app_state=self.server.lifespan.state,
+        )
+        return protocol
 
     async def stop(self, timeout_s: float) -> None:
         """Stop listening, let running requests end, close connections."""
