Elect a leader sooner, and wait longer for a token meanwhile

Change: election after 0.5 to 1 s, heartbeats each 100 ms, leader lease 0.4 s; a replica that gives no tokens for 0.5 s is left for another; calls wait 1 s for a token. A call that is refused by the ledger is still refused at once.

--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -33,6 +33,10 @@
 # Shortest time between two token requests when a call waits, seconds.
 _URGENT_GRANT_GAP_S = 0.01
 
+# A replica that gives no tokens in this time is left for another, seconds.
+# Calls wait for tokens, so this is shorter than the heartbeat allows.
+_GRANT_TIMEOUT_S = 0.5
+
 # Time before another replica is tried, seconds; grows up to the maximum.
 _RECONNECT_MIN_S = 0.05
 _RECONNECT_MAX_S = 1.0
@@ -232,7 +236,7 @@
             wants=wants,
         )
         try:
-            reply = await link.request(request, self.options.lease_s / 2)
+            reply = await link.request(request, _GRANT_TIMEOUT_S)
         except errors.ControlError as e:
             # No leader just now; the next request comes soon.
             _LOG.debug('No tokens: %s', e)
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -83,7 +83,7 @@
     # Time between token requests to the ledger, milliseconds.
     grant_interval_ms: int = 200
     # Longest wait of a call for a token, milliseconds.
-    grant_wait_ms: int = 300
+    grant_wait_ms: int = 1000
     # Largest request body, bytes.
     max_body_bytes: int = 1024 * 1024
     # Largest answer body, bytes.
@@ -131,13 +131,13 @@
     # Data folder on the disk.
     data_folder: str
     # Shortest time without a leader before an election, seconds.
-    election_min_s: float = 1.0
+    election_min_s: float = 0.5
     # Longest time without a leader before an election, seconds.
-    election_max_s: float = 2.0
+    election_max_s: float = 1.0
     # Time between the leader's heartbeats, milliseconds.
-    append_interval_ms: int = 150
+    append_interval_ms: int = 100
     # Leader lease after a round that a majority acknowledged, seconds.
-    leader_lease_s: float = 0.8
+    leader_lease_s: float = 0.4
     # Log entries between two snapshots.
     snapshot_entries: int = 4096
     # Silence after which a member is removed, seconds.
