--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -304,6 +304,9 @@
         if parent.key_id and self.view.key_by_id(parent.key_id) is None:
             raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
         route = self._match(request)
+        if not route.is_open and not parent.workspace:
+            # The chain began on an open route, so no key came with it.
+            raise errors.RequestError(errors.ErrorKind.KEY_MISSING)
         call = self._build(request, route, parent.workspace, now)
         call.key_id = parent.key_id
         call.priority = parent.priority
--- a/tests/node/test_isolation.py
+++ b/tests/node/test_isolation.py
@@ -41,6 +41,8 @@
         'path_prefix': '/open',
         'service': 'siop',
         'open': True,
+        'attempts': 6,
+        'dispatch_attempts': 3,
     },
 ]
 _NOTE = fakes.note(1, {'dyffryn': (1000, 500), 'bach': (1000, 500)}, _ROUTES)
@@ -117,6 +119,24 @@
     asyncio.run(run())
 
 
+def test_chain_without_a_key(tmp_path: pathlib.Path) -> None:
+    """Guards against an open route that leads to work of a workspace."""
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, _PAIR) as (_, [near, far]):
+            held, task, parent = await _parent(near, '/open/1', '')
+            keyed = await near.call_onward(parent, '/far/1')
+            assert keyed.status == 401
+            assert json.loads(keyed.body)['error'] == 'key_missing'
+            assert not far.upstream.runs
+            opened = await near.call_onward(parent, '/far-open/1')
+            assert opened.status == 200
+            held.is_free.set()
+            assert (await task).status == 200
+
+    asyncio.run(run())
+
+
 _SPOOFS = {
     'godwitstall-workspace': 'bach',
     'godwitstall_workspace': 'bach',
