Accept links in one place

Cause: the control service and the peer server of a node had the same code to accept, count and close links. Ruled out: a shared function with a callback (each keeps the set of its links for dumps and stops, so a base class is shorter). Change: link.LinkServer holds it; both are subclasses.

--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -47,7 +47,7 @@
 ]
 
 
-class Service:
+class Service(link_module.LinkServer):
     """Request handling of one control process."""
 
     def __init__(
@@ -57,8 +57,8 @@
         machine: machine_module.Machine,
         replica: replica_module.Replica,
     ) -> None:
+        super().__init__(identity)
         self.options = options
-        self.identity = identity
         self.machine = machine
         self.replica = replica
         self.barrier = barrier_module.Barrier(replica)
@@ -66,16 +66,11 @@
         self.leadership = leadership.Leadership(
             options, machine, replica, self.sessions
         )
-        self.server: asyncio.Server | None = None
-        self.links: set[link_module.Link] = set()
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def start(self, address: str) -> None:
         """Listen on 'host:port' and start the tasks."""
-        host, port = link_module.split_address(address)
-        self.server = await asyncio.start_server(
-            self._serve, host, port, backlog=1024
-        )
+        await self.listen(address)
         for work in (
             self.barrier.run(),
             self.sessions.run(),
@@ -95,19 +90,11 @@
         if not task.cancelled() and task.exception() is not None:
             _LOG.error('A task failed.', exc_info=task.exception())
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            link = await link_module.accept(reader, writer, self.identity)
-        except errors.LinkError as e:
-            _LOG.warning('Refused a link: %s', e)
-            return
-        self.links.add(link)
+    async def serve(self, link: link_module.Link) -> None:
+        """Serve the requests that come over one link."""
         try:
             await link.run(functools.partial(self._on_message, link))
         finally:
-            self.links.discard(link)
             self.sessions.on_closed(link)
 
     async def _on_message(
@@ -248,11 +235,8 @@
 
     async def close(self) -> None:
         """End the replica, the listener, all links and tasks at once."""
-        if self.server is not None:
-            self.server.close()
+        self.close_links()
         await self.replica.close()
-        for link in list(self.links):
-            link.close()
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -10,6 +10,7 @@
     reply = await link.request(messages.BarrierRequest(), timeout_s=1.0)
 """
 
+import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -34,6 +35,9 @@
 _NONCE_BYTES = 16
 _READ_BYTES = 64 * 1024
 
+# Links that wait in the kernel, as when all nodes of a zone come back.
+_BACKLOG = 1024
+
 # A peer that does not finish the handshake in this time is dropped.
 HANDSHAKE_TIMEOUT_S = 2.0
 
@@ -356,3 +360,48 @@
     link.peer_role = hello.role
     link.max_frame_bytes = messages.MAX_FRAME_BYTES
     return link
+
+
+class LinkServer(abc.ABC):
+    """Base of what accepts links: the peers of a node, a control process."""
+
+    def __init__(self, identity: Identity) -> None:
+        self.identity = identity
+        self.server: asyncio.Server | None = None
+        # Links that are open.
+        self.links: set[Link] = set()
+
+    @abc.abstractmethod
+    async def serve(self, link: Link) -> None:
+        """Read one link until it ends."""
+
+    async def listen(self, address: str) -> None:
+        """Listen on 'host:port'.
+
+        Errors: OSError when the address cannot be used.
+        """
+        host, port = split_address(address)
+        self.server = await asyncio.start_server(
+            self._accept, host, port, backlog=_BACKLOG
+        )
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            link = await accept(reader, writer, self.identity)
+        except errors.LinkError as e:
+            _LOG.warning('Refused a link: %s', e)
+            return
+        self.links.add(link)
+        try:
+            await self.serve(link)
+        finally:
+            self.links.discard(link)
+
+    def close_links(self) -> None:
+        """Stop listening and close all links."""
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.links):
+            link.close()
--- a/godwitstall/node/peer_server.py
+++ b/godwitstall/node/peer_server.py
@@ -12,38 +12,21 @@
 _LOG = logs.get('peers')
 
 
-class PeerServer:
+class PeerServer(link_module.LinkServer):
     """Listener for links of other nodes."""
 
     def __init__(
         self, identity: link_module.Identity, owner: dispatch.Owner
     ) -> None:
-        self.identity = identity
+        super().__init__(identity)
         self.owner = owner
-        self.server: asyncio.Server | None = None
-        self.links: set[link_module.Link] = set()
 
-    async def start(self, address: str) -> None:
-        """Listen on 'host:port'."""
-        host, port = link_module.split_address(address)
-        self.server = await asyncio.start_server(
-            self._serve, host, port, backlog=1024
-        )
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            link = await link_module.accept(reader, writer, self.identity)
-        except errors.LinkError as e:
-            _LOG.warning('Refused a link: %s', e)
-            return
-        self.links.add(link)
+    async def serve(self, link: link_module.Link) -> None:
+        """Answer the calls that come over one link."""
         calls: dict[int, asyncio.Task[None]] = {}
         try:
             await link.run(functools.partial(self._on_message, link, calls))
         finally:
-            self.links.discard(link)
             # The entry node is gone and so are its callers.
             for task in calls.values():
                 task.cancel()
@@ -77,13 +60,6 @@
         except errors.LinkError as e:
             _LOG.debug('An answer found no link: %s', e)
 
-    async def stop(self) -> None:
-        """Stop listening and close all links."""
-        if self.server is not None:
-            self.server.close()
-        for link in list(self.links):
-            link.close()
-
 
 def _forget(
     calls: dict[int, asyncio.Task[None]],
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -153,7 +153,7 @@
 
     async def start(self) -> None:
         """Start all listeners and tasks."""
-        await self.peers.start(self.options.link_address)
+        await self.peers.listen(self.options.link_address)
         await self.server.start()
         for work in (
             self.session.run(),
@@ -195,7 +195,7 @@
             await asyncio.sleep(_POLL_S)
         await self.server.stop(max(1.0, end - clock.now()))
         await self.claimer.drain(_RECORD_WAIT_S)
-        await self.peers.stop()
+        self.peers.close_links()
         self.forwarder.close()
         for task in self.tasks:
             task.cancel()
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -4,7 +4,7 @@
 so the node also looks at its own calls: an upstream that answers none of
 them for some seconds is stalled and gets no new work. It gets work again,
 slowly, when a call is answered after all, or when its probe is answered and
-the pause is over; each stall in a row doubles the pause.
+the pause is over; each further one in a row doubles the pause.
 """
 
 import asyncio
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -492,7 +492,7 @@
         await self.upstream.stop()
         self.node.server.server.force_exit = True
         await self.node.server.stop(0.0)
-        await self.node.peers.stop()
+        self.node.peers.close_links()
         self.node.forwarder.close()
         for task in self.node.tasks:
             task.cancel()
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -280,7 +280,7 @@
                 await asyncio.wait_for(received.closed.wait(), fakes.WAIT_S)
                 await fakes.until(lambda: not far.node.owner.running, 'freed')
             # The owner is gone: nothing was sent.
-            await far.node.peers.stop()
+            far.node.peers.close_links()
             _cut_links(far, False)
             await fakes.until(
                 lambda: (
--- a/tests/node/test_upstream_states.py
+++ b/tests/node/test_upstream_states.py
@@ -218,7 +218,7 @@
 def test_queue_of_a_stalled_upstream_moves_on(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Guards against waiting work that nobody wakes when a stall ends."""
+    """Guards against a queue that nobody wakes after a recovery."""
     monkeypatch.setattr(upstream_module, 'STALL_S', 0.2)
     monkeypatch.setattr(upstream_module, 'STALL_PAUSE_MIN_S', 0.05)
 
