Hash requests in one place

Cause: the digest of an operation and the fingerprint of a request wrote the same loop over parts with their lengths. Ruled out: one digest for both (the fingerprint names the workspace too). Change: node/digests.py; a comment that named trial calls, which no longer exist, says why waiting work is looked at after a push.

--- /dev/null
+++ b/godwitstall/node/digests.py
@@ -0,0 +1,17 @@
+"""SHA-256 over several parts, with their lengths, so that none can shift.
+
+Example: digests.of_parts(b'POST', b'/pay', body)
+"""
+
+import hashlib
+
+_LENGTH_BYTES = 8
+
+
+def of_parts(*parts: bytes) -> bytes:
+    """Return the digest of the parts in order."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
+        digest.update(part)
+    return digest.digest()
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -8,7 +8,6 @@
 import asyncio
 import collections.abc
 import dataclasses
-import hashlib
 import secrets
 import typing
 
@@ -21,6 +20,7 @@
 from godwitstall.node import claims
 from godwitstall.node import context
 from godwitstall.node import crashes
+from godwitstall.node import digests
 from godwitstall.node import headers
 from godwitstall.node import upstream as upstream_module
 from godwitstall.node import upstream_client
@@ -206,8 +206,8 @@
         self.has_queued.set()
         if shed is not None:
             self._refuse_item(shed, errors.ErrorKind.OVERLOADED)
-        # A slot may be free although others wait: a stalled upstream frees
-        # none by itself when its trial time comes.
+        # A slot may be free although others wait: no call ends at a stalled
+        # upstream to hand its slot on when it recovers.
         self._start_waiting()
         try:
             await future
@@ -440,11 +440,9 @@
 
 def request_digest(call: messages.Call) -> bytes:
     """Return what tells two requests under one operation id apart."""
-    digest = hashlib.sha256()
-    for part in (call.method.encode(), call.path.encode(), call.body):
-        digest.update(len(part).to_bytes(8, 'big'))
-        digest.update(part)
-    return digest.digest()
+    return digests.of_parts(
+        call.method.encode(), call.path.encode(), call.body
+    )
 
 
 def request_block(
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -23,6 +23,7 @@
 from godwitstall.node import announcements
 from godwitstall.node import context
 from godwitstall.node import control_session
+from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
 from godwitstall.node import relay
@@ -478,16 +479,12 @@
 
 def fingerprint(workspace: str, request: Request) -> bytes:
     """Return what makes two requests the same for the crash reports."""
-    digest = hashlib.sha256()
-    for part in (
+    return digests.of_parts(
         workspace.encode(),
         request.method.encode(),
         request.target.encode(),
         request.body,
-    ):
-        digest.update(len(part).to_bytes(8, 'big'))
-        digest.update(part)
-    return digest.digest()
+    )
 
 
 def response_parts(
