Wait for expired nodes to join again before the last calls of a test

The nodes had been silent in the cut, had expired, and had not joined again when the test called. Ruled out: state that reverts (the numbers on each node stay in order), a lease that should not be there (both leases are fresh by then). Change: the test waits until both nodes see both members ready, then asserts the same 200 answers. A member that never joins again still fails it.

--- a/tests/control/test_configuration_in_force.py
+++ b/tests/control/test_configuration_in_force.py
@@ -15,6 +15,15 @@
 _ACCEPTED = messages.NoteVerdict.ACCEPTED
 
 
+def _ready(node: fakes.NodeHarness) -> set[str]:
+    """Return the members that a node sees ready."""
+    return {
+        member.node_id
+        for member in node.node.view.members.values()
+        if member.state is messages.UpstreamState.READY
+    }
+
+
 def _is_fresh(node: fakes.NodeHarness) -> bool:
     return node.node.session.is_fresh(clock.now())
 
@@ -164,6 +173,12 @@
                 ),
                 'both use the replica that came back',
             )
+            # Silent nodes have expired; until they have joined again, calls
+            # are refused with no_upstream, not run.
+            await fakes.until(
+                lambda: _ready(n1) == _ready(n2) == {'n1', 'n2'},
+                'both have joined again',
+            )
             assert all(numbers == sorted(numbers) for numbers in seen.values())
             assert (await n1.call('/siop', 'key-w')).status == 200
             assert (await n2.call('/siop', 'key-w')).status == 200
