--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -32,7 +32,8 @@
 # No answer to any call for this long means that the upstream is stalled.
 STALL_S = 3.0
 
-# Pause after a stall, doubled for each stall without an answered call.
+# Pause of an upstream that answered no call, seconds; doubled each time until
+# a call is answered.
 STALL_PAUSE_MIN_S = 1.0
 STALL_PAUSE_MAX_S = 60.0
 
--- a/tests/node/test_upstream_states.py
+++ b/tests/node/test_upstream_states.py
@@ -232,7 +232,7 @@
         ) as (_, [node]):
             node.upstream.respond = fakes.never
             hung = asyncio.create_task(node.call('/orders/1', _KEY))
-            await fakes.until(lambda: node.node.upstream.is_stalled, 'stall')
+            await fakes.until(lambda: node.node.upstream.is_stalled, 'no work')
             hung.cancel()
             await asyncio.gather(hung, return_exceptions=True)
             node.upstream.respond = fakes.echo
