--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
-	$(BIN)/flake8 godwitstall standin loadtool bench examples tests
+	$(BIN)/flake8 godwitstall standin loadtool bench examples tests platform
 	$(BIN)/mypy
 
 demo: $(STAMP)
--- a/godwitstall/configuration/state.py
+++ b/godwitstall/configuration/state.py
@@ -21,6 +21,49 @@
         self.configuration = messages.Configuration()
         # The last accepted notes by number, oldest first.
         self.notes: dict[int, messages.AcceptedNote] = {}
+        # Text of the last whole configuration; empty after a release note.
+        self.document = b''
+
+    def replace(
+        self, command: messages.ReplaceConfiguration, index: int, time_ms: int
+    ) -> messages.NoteResult:
+        """Put a whole configuration in force, or say why not.
+
+        A resend of one that was accepted is told so, also when others have
+        followed it. Of two that build on the same one, the first in the log
+        wins.
+        """
+        current = self.configuration.number
+        accepted = self.notes.get(command.number)
+        if accepted is not None and accepted.digest == command.digest:
+            return _result(_Verdict.ALREADY_IN_FORCE, accepted)
+        if command.base != current:
+            return _refused_replacement(
+                command,
+                _Verdict.BASE_CHANGED,
+                f'Number {current} is in force, not {command.base}.',
+            )
+        if command.number <= current:
+            return _refused_replacement(
+                command,
+                _Verdict.INVALID,
+                f'number: must be above {current}, not {command.number}',
+            )
+        command.configuration.index = index
+        command.configuration.number = command.number
+        self.configuration = command.configuration
+        self.document = command.document
+        self._accept(command.number, command.digest, command.operator, time_ms)
+        return _result(_Verdict.ACCEPTED, self.notes[command.number])
+
+    def _accept(
+        self, number: int, digest: str, operator: str, time_ms: int
+    ) -> None:
+        self.notes[number] = messages.AcceptedNote(
+            number=number, digest=digest, operator=operator, time_ms=time_ms
+        )
+        if len(self.notes) > KEPT_NOTES:
+            del self.notes[next(iter(self.notes))]
 
     def apply(
         self, command: messages.ApplyNote, index: int, time_ms: int
@@ -59,13 +102,8 @@
             return _refusal(command, _Verdict.INVALID, '\n'.join(problems))
         configuration.index = index
         self.configuration = configuration
-        self.notes[number] = messages.AcceptedNote(
-            number=number,
-            digest=digest,
-            operator=command.operator,
-            time_ms=time_ms,
-        )
-        self.notes.pop(number - KEPT_NOTES, None)
+        self.document = b''
+        self._accept(number, digest, command.operator, time_ms)
         return _result(_Verdict.ACCEPTED, self.notes[number])
 
     def _answer_known(
@@ -90,13 +128,16 @@
     def to_snapshot(self) -> messages.ConfigurationSnapshot:
         """Return the replicated state."""
         return messages.ConfigurationSnapshot(
-            configuration=self.configuration, notes=list(self.notes.values())
+            configuration=self.configuration,
+            notes=list(self.notes.values()),
+            document=self.document,
         )
 
     def restore(self, snapshot: messages.ConfigurationSnapshot) -> None:
         """Replace the state by that of a snapshot."""
         self.configuration = snapshot.configuration
         self.notes = {note.number: note for note in snapshot.notes}
+        self.document = snapshot.document
 
 
 def _refusal(
@@ -110,6 +151,19 @@
     )
 
 
+def _refused_replacement(
+    command: messages.ReplaceConfiguration,
+    verdict: messages.NoteVerdict,
+    detail: str,
+) -> messages.NoteResult:
+    return messages.NoteResult(
+        verdict=verdict,
+        number=command.number,
+        digest=command.digest,
+        detail=detail,
+    )
+
+
 def _result(
     verdict: messages.NoteVerdict,
     accepted: messages.AcceptedNote,
--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -83,7 +83,7 @@
     def may_stand(self) -> bool:
         """Return whether this replica may become leader."""
         if self.is_new_fleet():
-            return self.replica.slot == min(self.replica.fleet.control)
+            return self.replica.discovery.is_founder()
         return self.replica.is_voter(
             self.replica.slot, self.replica.disk.disk_id
         )
@@ -182,7 +182,7 @@
 
     def _is_enough(self, grants: _Grants) -> bool:
         if self.is_new_fleet():
-            return set(grants) == set(self.replica.fleet.control)
+            return set(grants) == self.replica.discovery.founding_slots()
         counted = [
             slot
             for slot, disk_id in grants.items()
--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -46,6 +46,10 @@
         self.replica = replica
         self.slot = slot
         self.address = address
+        # Task that runs run(); None before the replica starts.
+        self.task: asyncio.Task[None] | None = None
+        # When a link was last open, seconds.
+        self.linked_at = clock.now()
         # Open link, None while there is none.
         self.link: links.Link | None = None
         # Disk that answered last.
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -18,6 +18,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall.consensus import discovery
 from godwitstall.consensus import election
 from godwitstall.consensus import follower
 from godwitstall.consensus import log as logmodule
@@ -41,6 +42,14 @@
 # its commands are, and the log in memory stays small beside the state.
 _LOG_SHARE = 8
 
+# Voters of a fleet whose replicas are found through seeds: two of five may be
+# lost at once.
+_MAX_FOUND_VOTERS = 5
+
+# A voter that answers nothing for this long gives its vote to a spare,
+# seconds.
+_LOST_VOTER_S = 2.0
+
 # A larger command could make an append request that no peer reads, and
 # replication would stop at it.
 MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
@@ -102,11 +111,13 @@
         self.election = election.Election(self)
         self.follower = follower.Follower(self)
         self.peers: dict[messages.SlotId, peers.Peer] = {}
+        self.discovery = discovery.Discovery(self, fleet)
         for name, address in fleet.control.items():
             slot = messages.SlotId(name)
             if slot != self.slot:
                 self.peers[slot] = peers.Peer(self, slot, address)
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_started = False
         # Index of the leader's first entry, and when it took the lead.
         self._term_start = 0
         self._lead_since = 0.0
@@ -170,8 +181,36 @@
         )
         self._spawn(self.log.run())
         self._spawn(self._run_timer())
+        for voter in self.voters.current.values():
+            if voter.slot != self.slot:
+                self.meet(voter.slot, voter.address)
+        self._is_started = True
         for peer in self.peers.values():
-            self._spawn(peer.run())
+            peer.task = self._spawn(peer.run())
+        self._spawn(self.discovery.run())
+
+    def meet(self, slot: messages.SlotId, address: str) -> bool:
+        """Keep a link to a replica; return whether it is new here."""
+        if slot == self.slot or not address:
+            return False
+        peer = self.peers.get(slot)
+        if peer is not None:
+            if peer.address != address and peer.link is None:
+                _LOG.info('Replica %s is at %s now.', slot, address)
+                peer.address = address
+            return False
+        _LOG.info('Knows replica %s at %s.', slot, address)
+        peer = self.peers[slot] = peers.Peer(self, slot, address)
+        peer.reset(self.log.last_index + 1)
+        if self._is_started:
+            peer.task = self._spawn(peer.run())
+        return True
+
+    def forget(self, slot: messages.SlotId) -> None:
+        """Drop a replica that has no vote."""
+        peer = self.peers.pop(slot)
+        if peer.task is not None:
+            peer.task.cancel()
 
     def _open(self) -> tuple[messages.SnapshotFile, bytes | memoryview]:
         self.disk = storage.read_identity(
@@ -198,10 +237,11 @@
 
     def _spawn(
         self, work: collections.abc.Coroutine[None, None, None]
-    ) -> None:
+    ) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
+        return task
 
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
@@ -365,7 +405,7 @@
             last_term=self.term,
             time_ms=clock.wall_ms(),
             voters=[
-                messages.Voter(slot, disk_id, self.fleet.control[slot])
+                messages.Voter(slot, disk_id, self._address_of(slot))
                 for slot, disk_id in sorted(grants.items())
             ],
             voters_index=1,
@@ -379,6 +419,11 @@
             pass
         self._adopt(header, len(state))
 
+    def _address_of(self, slot: messages.SlotId) -> str:
+        if slot == self.slot:
+            return self.discovery.own_address
+        return self.peers[slot].address
+
     def _adopt(self, header: messages.SnapshotFile, size: int) -> None:
         """Go on after a durable snapshot of size bytes that is loaded."""
         self._snapshot_bytes, self._applied_bytes = size, 0
@@ -507,9 +552,13 @@
             ):
                 continue
             former = self.voters.current.get(peer.slot)
+            if former is None and len(self.voters.current) >= self._max_voters:
+                former = self._lost_voter()
+                if former is None:
+                    continue
             change: voters.Change
             if former is not None:
-                change = messages.RemoveVoter(peer.slot, former.disk_id)
+                change = messages.RemoveVoter(former.slot, former.disk_id)
             else:
                 change = messages.AddVoter(
                     messages.Voter(peer.slot, peer.disk_id, peer.address)
@@ -519,6 +568,23 @@
                 self._append(messages.encode(change))
                 return
 
+    @property
+    def _max_voters(self) -> int:
+        """Voters that a fleet has; more replicas than that are spares."""
+        return len(self.fleet.control) or _MAX_FOUND_VOTERS
+
+    def _lost_voter(self) -> messages.Voter | None:
+        """Return a voter that does not answer, so that a spare replaces it."""
+        if clock.now() - self._lead_since < _LOST_VOTER_S:
+            return None
+        for voter in self.voters.current.values():
+            peer = self.peers.get(voter.slot)
+            if voter.slot == self.slot:
+                continue
+            if peer is None or clock.now() - peer.acked_at > _LOST_VOTER_S:
+                return voter
+        return None
+
     # Commit and apply
 
     def advance_commit(self, index: int) -> None:
--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -145,6 +145,27 @@
     _replace_file(folder / _DISK, json.dumps(identity, indent=1).encode())
 
 
+def format_if_empty(
+    folder: pathlib.Path,
+    fleet_name: str,
+    slot: messages.SlotId,
+    is_initial: bool,
+) -> None:
+    """Format a data folder that holds no identity yet.
+
+    The identity is written last, so files without it are left over from a
+    formatting that a crash cut off, and nothing was ever stored in them.
+    """
+    if (folder / _DISK).exists():
+        return
+    folder.mkdir(parents=True, exist_ok=True)
+    for path in folder.iterdir():
+        _LOG.warning('Deletes %s of an unfinished formatting.', path.name)
+        path.unlink()
+    _LOG.info('Formats %s, initial: %s.', folder, is_initial)
+    format_disk(folder, fleet_name, slot, is_initial)
+
+
 def read_identity(
     folder: pathlib.Path, fleet_name: str, slot: messages.SlotId
 ) -> DiskIdentity:
--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -136,6 +136,16 @@
                     )
                     self._note_change(_Change(index, _CONFIGURATION))
                 return note
+            case messages.ReplaceConfiguration():
+                note = self.configuration.replace(command, index, time_ms)
+                if note.verdict is messages.NoteVerdict.ACCEPTED:
+                    _log.info(
+                        'Configuration %d of %r is in force.',
+                        note.number,
+                        note.operator,
+                    )
+                    self._note_change(_Change(index, _CONFIGURATION))
+                return note
             case (
                 messages.Join()
                 | messages.SetUpstreamState()
@@ -324,6 +334,8 @@
                 }
             case messages.QueryKind.NOTE_CHECK:
                 return self._check_note(text)
+            case messages.QueryKind.DOCUMENT:
+                return {'number': self.configuration.configuration.number}
 
     def _check_note(self, text: str) -> dict[str, typing.Any]:
         """Return all that is wrong with a note; changes nothing."""
--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -43,6 +43,7 @@
     messages.GrantReply,
     messages.QueryReply,
     messages.BarrierReply,
+    messages.Directory,
     messages.Done,
 ]
 
@@ -115,6 +116,8 @@
                 self._spawn(self._reply(link, message, self._query))
             case messages.BarrierRequest():
                 self._spawn(self._reply(link, message, self._barrier))
+            case messages.Introduce():
+                self._spawn(self._reply(link, message, self._introduce))
             case messages.LivenessReport():
                 self._spawn(self._reply(link, message, self._liveness))
             case _:
@@ -171,6 +174,25 @@
                 _RETRY_AFTER_MS,
             ) from e
 
+    async def execute(self, command: messages.Message) -> messages.Message:
+        """Have a command logged and applied, and return its result.
+
+        Errors: ControlError when that is not known to have happened.
+        """
+        request = messages.Propose(command=messages.encode(command))
+        reply = await self._propose(request)
+        if not isinstance(reply, messages.ProposeReply):
+            raise errors.ControlError(errors.ErrorKind.BAD_MESSAGE)
+        return messages.decode(reply.result)
+
+    async def document(self) -> bytes:
+        """Return the newest whole configuration as it was sent.
+
+        Errors: ControlError when this replica cannot be sure that it is.
+        """
+        await self.barrier.wait(_REQUEST_TIMEOUT_S)
+        return self.machine.configuration.document
+
     async def _propose(self, request: messages.Propose) -> _Reply:
         if self.replica.is_leader:
             index, result = await self.replica.propose(
@@ -201,6 +223,10 @@
         await self.barrier.wait(_REQUEST_TIMEOUT_S)
         if request.kind is messages.QueryKind.STATUS:
             return messages.QueryReply(body=self._status())
+        if request.kind is messages.QueryKind.DOCUMENT:
+            return messages.QueryReply(
+                body=self.machine.configuration.document
+            )
         return messages.QueryReply(
             body=_to_json(self.machine.query(request.kind, request.text))
         )
@@ -220,6 +246,9 @@
         index = await self.replica.read_barrier(_REQUEST_TIMEOUT_S)
         return messages.BarrierReply(index=index)
 
+    async def _introduce(self, request: messages.Introduce) -> _Reply:
+        return self.replica.discovery.on_introduce(request)
+
     async def _liveness(self, request: messages.LivenessReport) -> _Reply:
         self.leadership.on_report(request.beats, clock.now())
         return messages.Done()
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -59,6 +59,7 @@
     messages.SnapshotReply,
     messages.BarrierReply,
     messages.Done,
+    messages.Directory,
 )
 
 Handler = collections.abc.Callable[
--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -17,13 +17,24 @@
   seq @0 :UInt64; isFresh @1 :Bool; appliedIndex @2 :UInt64;
   mustMove @3 :Bool;
 }
-struct Workspace { name @0 :Text; rate @1 :Float64; burst @2 :UInt32; }
+struct Workspace {
+  name @0 :Text; rate @1 :Float64; burst @2 :UInt32; rank @3 :Int16 = -1;
+}
 struct Key { keyId @0 :Text; workspace @1 :Text; digest @2 :Text; }
 struct Route {
   name @0 :Text; pathPrefix @1 :Text; methods @2 :List(Text);
   service @3 :Text; priority @4 :UInt8; isIdempotent @5 :Bool;
   isOpen @6 :Bool; attempts @7 :UInt32; timeoutMs @8 :UInt32;
-  dispatchAttempts @9 :UInt32;
+  dispatchAttempts @9 :UInt32; host @10 :Text; targets @11 :List(Target);
+  targetLatencyMs @12 :UInt32;
+}
+struct Target { service @0 :Text; weight @1 :Float64; }
+struct ServiceRule {
+  name @0 :Text; healthPath @1 :Text; maxConnections @2 :UInt32;
+}
+struct ClientLimits {
+  maxHeaderBytes @0 :UInt32; maxBodyBytes @1 :UInt32;
+  headerTimeoutMs @2 :UInt32; idleTimeoutMs @3 :UInt32;
 }
 struct UpstreamRule {
   name @0 :Text; service @1 :Text; maxSlots @2 :UInt32;
@@ -32,7 +43,8 @@
 struct Configuration {
   number @0 :UInt64; index @1 :UInt64; workspaces @2 :List(Workspace);
   keys @3 :List(Key); routes @4 :List(Route);
-  upstreams @5 :List(UpstreamRule);
+  upstreams @5 :List(UpstreamRule); services @6 :List(ServiceRule);
+  limits @7 :ClientLimits;
 }
 struct Member {
   nodeId @0 :Text; incarnation @1 :UInt64; service @2 :Text; zone @3 :Text;
@@ -97,10 +109,18 @@
 struct NodeBeat { nodeId @0 :Text; incarnation @1 :UInt64; ageMs @2 :UInt32; }
 struct LivenessReport { seq @0 :UInt64; beats @1 :List(NodeBeat); }
 struct Done { seq @0 :UInt64; }
+struct Introduce { seq @0 :UInt64; replica @1 :Voter; isInitial @2 :Bool; }
+struct Directory {
+  seq @0 :UInt64; replicas @1 :List(Voter); isFormed @2 :Bool;
+}
 
 struct ApplyNote {
   number @0 :UInt64; digest @1 :Text; operator @2 :Text; changes @3 :Data;
 }
+struct ReplaceConfiguration {
+  base @0 :UInt64; number @1 :UInt64; digest @2 :Text; operator @3 :Text;
+  document @4 :Data; configuration @5 :Configuration;
+}
 struct Join { member @0 :Member; }
 struct SetUpstreamState {
   nodeId @0 :Text; incarnation @1 :UInt64; state @2 :UInt8; slots @3 :UInt32;
@@ -148,6 +168,7 @@
 }
 struct ConfigurationSnapshot {
   configuration @0 :Configuration; notes @1 :List(AcceptedNote);
+  document @2 :Data;
 }
 struct MembersSnapshot {
   members @0 :List(Member); drained @1 :List(Text); gone @2 :List(NodeBeat);
@@ -195,6 +216,7 @@
     operationsSnapshot @42 :OperationsSnapshot;
     quarantineSnapshot @43 :QuarantineSnapshot;
     machineSnapshot @44 :MachineSnapshot; snapshotFile @45 :SnapshotFile;
-    entry @46 :Entry;
+    entry @46 :Entry; introduce @47 :Introduce; directory @48 :Directory;
+    replaceConfiguration @49 :ReplaceConfiguration;
   }
 }
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -90,6 +90,8 @@
     NUMBER_TAKEN = 2
     NUMBER_GAP = 3
     INVALID = 4
+    # The configuration that it builds on is not the one in force.
+    BASE_CHANGED = 5
 
 
 class QueryKind(enum.Enum):
@@ -103,6 +105,8 @@
     NOTES = 5
     # The text is a release note; all that is wrong with it now.
     NOTE_CHECK = 6
+    # The last whole configuration, as the operator sent it.
+    DOCUMENT = 7
 
 
 @dataclasses.dataclass(slots=True)
@@ -197,6 +201,10 @@
     is_idempotent: bool = False
     # SHA-256 of workspace, method, path and body.
     fingerprint: bytes = b''
+    # Id that the upstream gives back; empty when the mesh has none.
+    request_id: bytes = b''
+    # Host header for the upstream; empty means its address.
+    host: bytes = b''
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
@@ -275,6 +283,8 @@
     rate: float = 0.0
     # Requests that may come at once over the whole fleet.
     burst: int = 0
+    # Rank of its requests, 0 is the highest; -1 means that of the route.
+    rank: int = -1
 
 
 @dataclasses.dataclass(slots=True)
@@ -289,6 +299,16 @@
     digest: str = ''
 
 
+@dataclasses.dataclass(slots=True)
+class Target:
+    """One service that gets a share of a route's requests."""
+
+    # Service that the requests go to.
+    service: ServiceName = ServiceName('')
+    # Share of the requests, relative to the other targets.
+    weight: float = 0.0
+
+
 @dataclasses.dataclass(slots=True)
 class Route:
     """Where requests with a path prefix go."""
@@ -313,6 +333,38 @@
     timeout_ms: int = 0
     # Runs one dispatch with its onward calls may need.
     dispatch_attempts: int = 0
+    # Host that the route matches, in lower case; empty means any.
+    host: str = ''
+    # Services that share the requests; empty means all go to service.
+    targets: list[Target] = dataclasses.field(default_factory=list)
+    # Time within which an answer is of full use, milliseconds; 0 if unknown.
+    target_latency_ms: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ServiceRule:
+    """What the operator says of all upstreams of one service."""
+
+    # Name, unique in its kind.
+    name: str = ''
+    # Path of the health endpoint.
+    health_path: str = ''
+    # Connections that one upstream takes; 0 means as announced.
+    max_connections: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class ClientLimits:
+    """Bounds on what callers may send; 0 means those of the settings."""
+
+    # Largest request line and headers together, bytes.
+    max_header_bytes: int = 0
+    # Largest request body, bytes.
+    max_body_bytes: int = 0
+    # Longest time for the headers of one request, milliseconds.
+    header_timeout_ms: int = 0
+    # Longest time that a connection may be idle, milliseconds.
+    idle_timeout_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -345,6 +397,10 @@
     routes: list[Route] = dataclasses.field(default_factory=list)
     # Rules for single upstreams.
     upstreams: list[UpstreamRule] = dataclasses.field(default_factory=list)
+    # Rules for services.
+    services: list[ServiceRule] = dataclasses.field(default_factory=list)
+    # Bounds on what callers may send.
+    limits: ClientLimits = dataclasses.field(default_factory=ClientLimits)
 
 
 @dataclasses.dataclass(slots=True)
@@ -708,6 +764,50 @@
     seq: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class Introduce:
+    """A process asks who the replicas are; a replica names itself too."""
+
+    # Number that pairs a reply with its request on one link.
+    seq: int = 0
+    # The asking replica; the slot is empty when a node asks.
+    replica: Voter = dataclasses.field(default_factory=Voter)
+    # Its disk is empty and was formatted for a new fleet.
+    is_initial: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class Directory:
+    """Answers Introduce."""
+
+    # Number that pairs a reply with its request on one link.
+    seq: int = 0
+    # Replicas that vote or are linked, the answering one included.
+    replicas: list[Voter] = dataclasses.field(default_factory=list)
+    # The answering replica knows voters, so the fleet exists.
+    is_formed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ReplaceConfiguration:
+    """Command: put a whole configuration in force on top of another."""
+
+    # Number of the configuration that it replaces.
+    base: int = 0
+    # Its own number.
+    number: int = 0
+    # SHA-256 of the document, hex.
+    digest: str = ''
+    # Name of the operator.
+    operator: str = ''
+    # Text of the operator, kept as it was sent.
+    document: bytes = b''
+    # What the document says, checked before it was proposed.
+    configuration: Configuration = dataclasses.field(
+        default_factory=Configuration
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class ApplyNote:
     """Command: put a release note in force."""
@@ -978,6 +1078,8 @@
     )
     # Accepted notes, oldest first.
     notes: list[AcceptedNote] = dataclasses.field(default_factory=list)
+    # Text of the last whole configuration; empty after a release note.
+    document: bytes = b''
 
 
 @dataclasses.dataclass(slots=True)
@@ -1119,6 +1221,9 @@
     | MachineSnapshot
     | SnapshotFile
     | Entry
+    | Introduce
+    | Directory
+    | ReplaceConfiguration
 )
 
 # Larger frames are refused before they are read.
--- a/godwitstall/node/announcements.py
+++ b/godwitstall/node/announcements.py
@@ -28,6 +28,8 @@
     health_path: str = '/'
     # 'ready' or 'draining'.
     state: str = 'ready'
+    # Id of the process; requests may name it as the only one to run them.
+    instance_id: str = ''
 
     def problems(self, service: messages.ServiceName) -> list[str]:
         """Return what is wrong, one line each; empty when it can be used."""
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -51,6 +51,9 @@
 # would leave it no third try during a change of leader.
 _RETRY_GRANT_S = 0.05
 
+# Time between two questions for the replicas of the fleet, seconds.
+_DIRECTORY_INTERVAL_S = 5.0
+
 # One try of a command; a lost reply is found out after this long, seconds.
 _PROPOSE_TRY_S = 2.0
 
@@ -71,6 +74,8 @@
         self.identity = identity
         self.view = view
         self.allowance = allowance
+        # Control processes by slot, as last heard.
+        self.known: dict[str, str] = dict(fleet.control)
         self.link: link_module.Link | None = None
         # Set while a session is open and has delivered its first state.
         self.connected = asyncio.Event()
@@ -91,20 +96,40 @@
         """Return whether the view may be used for decisions."""
         return now < self.lease_until
 
+    def may_serve(self, now: float) -> bool:
+        """Return whether calls may be served.
+
+        A node may be set to go on with the last configuration that it knows
+        when control is lost.
+        """
+        if self.options.serves_without_lease:
+            return self.view.index >= 0
+        return self.is_fresh(now)
+
+    def _addresses(self) -> list[str]:
+        """Return where control processes are, in random order."""
+        found = list(self.known.values())
+        random.shuffle(found)
+        missing = [seed for seed in self.fleet.seeds if seed not in found]
+        random.shuffle(missing)
+        return found + missing
+
     async def run(self) -> None:
         """Keep a session open until cancelled."""
-        slots = list(self.fleet.control)
-        random.shuffle(slots)
+        addresses = self._addresses()
         pause_s = _RECONNECT_MIN_S
         turn = 0
         while True:
-            slot = slots[turn % len(slots)]
+            if turn >= len(addresses):
+                turn = 0
+                addresses = self._addresses()
+            address = addresses[turn]
             turn += 1
             started = clock.now()
             try:
-                await self._serve(slot)
+                await self._serve(address)
             except errors.GodwitstallError as e:
-                _LOG.info('Session with %s ended: %s', slot, e)
+                _LOG.info('Session with %s ended: %s', address, e)
             finally:
                 self.connected.clear()
                 self.allowance.on_lost()
@@ -116,10 +141,10 @@
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
             pause_s = min(_RECONNECT_MAX_S, pause_s * 2)
 
-    async def _serve(self, slot: str) -> None:
+    async def _serve(self, address: str) -> None:
         local_host, _ = link_module.split_address(self.options.link_address)
         link = await link_module.connect(
-            self.fleet.control[slot],
+            address,
             self.identity,
             # A replica that does not answer must leave time for another one
             # before the lease ends.
@@ -127,12 +152,14 @@
             local_host,
         )
         self.link = link
-        self.slot = slot
-        _SESSIONS.inc(slot=slot)
+        self.slot = link.peer_id
+        _SESSIONS.inc(slot=self.slot)
         reader = asyncio.create_task(link.run(self._on_push))
         beats = asyncio.create_task(self._beat(link))
         grants = asyncio.create_task(self._ask_for_tokens(link))
         tasks = {reader, beats, grants}
+        if self.fleet.seeds:
+            tasks.add(asyncio.create_task(self._find_replicas(link)))
         try:
             done, _ = await asyncio.wait(
                 tasks, return_when=asyncio.FIRST_COMPLETED
@@ -145,6 +172,18 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _find_replicas(self, link: link_module.Link) -> None:
+        """Learn which replicas there are, for when this one is lost."""
+        while True:
+            reply = await link.request(
+                messages.Introduce(), self.options.lease_s / 2
+            )
+            if isinstance(reply, messages.Directory):
+                self.known = {
+                    voter.slot: voter.address for voter in reply.replicas
+                }
+            await asyncio.sleep(_DIRECTORY_INTERVAL_S)
+
     async def _on_push(self, message: messages.Message) -> None:
         if not isinstance(message, messages.StateUpdate):
             _LOG.warning('Unexpected %s.', type(message).__name__)
--- a/godwitstall/node/digests.py
+++ b/godwitstall/node/digests.py
@@ -8,6 +8,11 @@
 _LENGTH_BYTES = 8
 
 
+def of_key(key: bytes) -> str:
+    """Return the digest under which a key is known, hex."""
+    return hashlib.sha256(key).hexdigest()
+
+
 def of_parts(*parts: bytes) -> bytes:
     """Return the digest of the parts in order."""
     digest = hashlib.sha256()
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -20,6 +20,7 @@
 from godwitstall.node import claims
 from godwitstall.node import context
 from godwitstall.node import crashes
+from godwitstall.node import dialect as dialect_module
 from godwitstall.node import digests
 from godwitstall.node import headers
 from godwitstall.node import upstream as upstream_module
@@ -46,6 +47,9 @@
 _COME_BACK_STATUSES = frozenset((429, 503, 504))
 _RETRY_AFTER_MS = 1000
 
+_FIRST_ERROR_STATUS = 400
+_MISDIRECTED = 421
+
 # Longest Retry-After of an upstream that is taken over, digits.
 _SECONDS_DIGITS = 4
 
@@ -89,7 +93,10 @@
         contexts: context.Contexts,
         claimer: claims.Claimer,
         crash_watch: crashes.CrashWatch,
+        names: dialect_module.Dialect | None = None,
     ) -> None:
+        # Header names towards the upstream; None means godwitstall-*.
+        self.names = names
         self.options = options
         self.view = view
         self.upstream = upstream
@@ -172,7 +179,7 @@
 
     def _check_ready(self) -> None:
         """Refuse work without a lease or without a ready upstream."""
-        if not self.claimer.session.is_fresh(clock.now()):
+        if not self.claimer.session.may_serve(clock.now()):
             raise errors.RequestError(errors.ErrorKind.CONTROL_LOST)
         if not self.upstream.is_ready():
             raise errors.RequestError(
@@ -326,14 +333,28 @@
         entry: context.Running,
         deadline: float,
     ) -> _Dispatched:
-        block = request_block(call, entry, deadline)
+        if self.names is None:
+            block = request_block(call, entry, deadline)
+        else:
+            block = dialect_block(
+                self.names, call, self.upstream.instance_id, deadline
+            )
         try:
             answer = await client.send(
-                call.method, call.path, block, call.body, deadline
+                call.method,
+                call.path,
+                block,
+                call.body,
+                deadline,
+                call.host,
+                call.request_id,
             )
         except errors.RequestError as e:
             is_refused = isinstance(e.__cause__, ConnectionRefusedError)
             return _Dispatched(e.kind, None, e.detail, is_refused)
+        if self.names is not None:
+            kind, detail = judge(self.names, answer)
+            return _Dispatched(kind, answer, detail)
         echo = upstream_client.find_header(answer.headers, headers.CONTEXT)
         if echo is not None and echo != entry.token.encode():
             _LOG.warning('Upstream gave the answer of another request.')
@@ -382,8 +403,9 @@
             answer.status = outcome.answer.status
             answer.headers = headers.to_block(outcome.answer.headers)
             answer.body = outcome.answer.body
-        if outcome.kind is errors.ErrorKind.UPSTREAM_SHED:
-            assert outcome.answer is not None
+        if outcome.kind is errors.ErrorKind.UPSTREAM_SHED and (
+            outcome.answer is not None
+        ):
             answer.retry_after_ms = shed_retry_after_ms(outcome.answer)
         else:
             answer.retry_after_ms = _come_back_ms(rule)
@@ -438,6 +460,41 @@
     return max(1, int(value)) * 1000
 
 
+def judge(
+    names: dialect_module.Dialect, answer: upstream_client.UpstreamAnswer
+) -> tuple[errors.ErrorKind, str]:
+    """Return whether a whole answer can be handed on, and if not, why."""
+
+    def find(name: bytes) -> bytes | None:
+        return upstream_client.find_header(answer.headers, name)
+
+    if find(names.not_run) is not None or answer.status == _MISDIRECTED:
+        return errors.ErrorKind.UPSTREAM_SHED, ''
+    is_success = answer.status < _FIRST_ERROR_STATUS
+    if is_success and find(names.signature) is None:
+        return errors.ErrorKind.ANSWER_CUT, 'The answer is not signed.'
+    if find(b'content-encoding') is not None:
+        return errors.ErrorKind.ANSWER_CUT, 'The answer is encoded.'
+    return errors.ErrorKind.NONE, ''
+
+
+def dialect_block(
+    names: dialect_module.Dialect,
+    call: messages.Call,
+    instance_id: str,
+    deadline: float,
+) -> bytes:
+    """Return the headers for an upstream with names of its own."""
+    left_ms = max(1, int((deadline - clock.now()) * 1000))
+    block = call.headers + b'%s: %d\r\n' % (names.deadline_ms, left_ms)
+    if instance_id:
+        block += b'%s: %s\r\n' % (
+            names.expected_instance,
+            instance_id.encode(),
+        )
+    return block
+
+
 def request_digest(call: messages.Call) -> bytes:
     """Return what tells two requests under one operation id apart."""
     return digests.of_parts(
--- /dev/null
+++ b/godwitstall/node/parts.py
@@ -0,0 +1,166 @@
+"""The parts of a node that do not depend on how callers speak.
+
+State from control, the owner side with its upstream, and the links to other
+nodes. The programs add an entry and their HTTP listeners.
+"""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+from godwitstall import clock
+from godwitstall import link as link_module
+from godwitstall import logs
+from godwitstall import messages
+from godwitstall.node import claims
+from godwitstall.node import context
+from godwitstall.node import control_session
+from godwitstall.node import crashes
+from godwitstall.node import dialect as dialect_module
+from godwitstall.node import dispatch
+from godwitstall.node import forward
+from godwitstall.node import membership
+from godwitstall.node import peer_server
+from godwitstall.node import relay
+from godwitstall.node import upstream as upstream_module
+from godwitstall.node import upstream_client
+from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import picker as picker_module
+from godwitstall.routing import view as view_module
+from godwitstall import settings
+
+_LOG = logs.get('node')
+
+# Tokens live this long after their request was sent, seconds; the same as
+# grant_lifetime_ms of control.
+_TOKEN_LIFETIME_S = 1.0
+
+# Time for outcomes on their way to control at a planned stop, seconds.
+_RECORD_WAIT_S = 5.0
+
+
+class Parts:
+    """What every node is made of."""
+
+    def __init__(
+        self,
+        options: settings.NodeOptions,
+        fleet: settings.FleetOptions,
+        names: dialect_module.Dialect | None = None,
+        framing: upstream_client.Framing | None = None,
+    ) -> None:
+        self.options = options
+        identity = link_module.Identity(
+            messages.Role.NODE, options.node_id, fleet.secret()
+        )
+        local_host, _ = link_module.split_address(options.link_address)
+        self.view = view_module.View()
+        self.allowance = allowance_module.Allowance(
+            _TOKEN_LIFETIME_S, options.grant_wait_ms / 1000
+        )
+        self.session = control_session.ControlSession(
+            options, fleet, identity, self.view, self.allowance
+        )
+        self.contexts = context.Contexts()
+        self.membership = membership.Membership(
+            options, self.view, self.session
+        )
+        self.upstream = upstream_module.Upstream(
+            options,
+            self.contexts,
+            self.membership.on_upstream_change,
+            framing,
+        )
+        self.membership.upstream = self.upstream
+        self.claimer = claims.Claimer(options.node_id, self.session)
+        self.owner = dispatch.Owner(
+            options,
+            self.view,
+            self.upstream,
+            self.contexts,
+            self.claimer,
+            crashes.CrashWatch(options.node_id, self.upstream, self.session),
+            names,
+        )
+        self.forwarder = forward.Forwarder(identity, local_host)
+        self.relay = relay.Relay(
+            options,
+            picker_module.Picker(self.view, options.zone, random.Random()),
+            self.forwarder,
+            self.owner,
+        )
+        self.peers = peer_server.PeerServer(identity, self.owner)
+        self.tasks: list[asyncio.Task[None]] = []
+        # Set by a signal, or when a task of the node has failed.
+        self.stop_wanted = asyncio.Event()
+        self.view.on_change.append(self._on_view_change)
+
+    def _on_view_change(self) -> None:
+        self.forwarder.keep_only(
+            {member.address for member in self.view.members.values()}
+        )
+        rule = self.view.upstream_rule(self.options.node_id)
+        self.upstream.set_max_slots(rule.max_slots if rule else 0)
+
+    async def start_parts(self) -> None:
+        """Listen for other nodes and start the tasks."""
+        await self.peers.listen(self.options.link_address)
+        for work in (
+            self.session.run(),
+            self.upstream.run(),
+            self.owner.run(),
+            self.membership.run(),
+        ):
+            self.tasks.append(asyncio.create_task(self._guard(work)))
+        _LOG.info('Node %s started.', self.options.node_id)
+
+    async def _guard(
+        self, work: collections.abc.Coroutine[None, None, None]
+    ) -> None:
+        """Run a task that must not end by itself."""
+        try:
+            await work
+        except Exception:
+            _LOG.exception('A task failed; the node stops.')
+            self.stop_wanted.set()
+
+    async def settle(self) -> None:
+        """Leave the members and wait until other nodes have noticed."""
+        started = clock.now()
+        await self.membership.leave()
+        settle_s = self.options.stop_settle_s or self.options.lease_s
+        left_s = started + settle_s - clock.now()
+        await asyncio.sleep(max(0.0, left_s))
+
+    async def stop_parts(self) -> None:
+        """Close all links and end the tasks."""
+        await self.claimer.drain(_RECORD_WAIT_S)
+        self.peers.close_links()
+        self.forwarder.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        _LOG.info('Node %s stopped.', self.options.node_id)
+
+    def dump_parts(self) -> dict[str, typing.Any]:
+        """Return the state of the parts for the admin listener."""
+        return {
+            'node_id': self.options.node_id,
+            'zone': self.options.zone,
+            'service': self.options.service,
+            'session': self.session.dump(),
+            'upstream': self.upstream.dump(),
+            'owner': self.owner.dump(),
+            'relay': self.relay.dump(),
+            'members': {
+                node_id: {
+                    'service': member.service,
+                    'zone': member.zone,
+                    'address': member.address,
+                    'state': member.state.name.lower(),
+                    'is_drained': member.is_drained,
+                }
+                for node_id, member in self.view.members.items()
+            },
+        }
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import collections.abc
 import gc
-import random
 import signal
 import sys
 import typing
@@ -18,23 +16,9 @@
 from godwitstall import clock
 from godwitstall import command_line
 from godwitstall import http_server
-from godwitstall import link as link_module
 from godwitstall import logs
-from godwitstall import messages
-from godwitstall.node import claims
-from godwitstall.node import context
-from godwitstall.node import control_session
-from godwitstall.node import crashes
-from godwitstall.node import dispatch
 from godwitstall.node import entry
-from godwitstall.node import forward
-from godwitstall.node import membership
-from godwitstall.node import peer_server
-from godwitstall.node import relay
-from godwitstall.node import upstream as upstream_module
-from godwitstall.rates import allowance as allowance_module
-from godwitstall.routing import picker as picker_module
-from godwitstall.routing import view as view_module
+from godwitstall.node import parts
 from godwitstall import settings
 
 _LOG = logs.get('node')
@@ -52,13 +36,6 @@
 _FLAGS = command_line.new_flags()
 _SETTINGS = flags.DEFINE_string('settings', None, 'Settings file.', _FLAGS)
 
-# Tokens live this long after their request was sent, seconds; the same as
-# grant_lifetime_ms of control.
-_TOKEN_LIFETIME_S = 1.0
-
-# Time for outcomes on their way to control at a planned stop, seconds.
-_RECORD_WAIT_S = 5.0
-
 # A connection that was accepted just before the listener closed still has
 # this long for its request, seconds.
 _LAST_REQUEST_S = 0.5
@@ -66,48 +43,13 @@
 _POLL_S = 0.02
 
 
-class Node:
-    """All parts of one node."""
+class Node(parts.Parts):
+    """A node whose callers use the godwitstall-* headers."""
 
     def __init__(
         self, options: settings.NodeOptions, fleet: settings.FleetOptions
     ) -> None:
-        self.options = options
-        identity = link_module.Identity(
-            messages.Role.NODE, options.node_id, fleet.secret()
-        )
-        local_host, _ = link_module.split_address(options.link_address)
-        self.view = view_module.View()
-        self.allowance = allowance_module.Allowance(
-            _TOKEN_LIFETIME_S, options.grant_wait_ms / 1000
-        )
-        self.session = control_session.ControlSession(
-            options, fleet, identity, self.view, self.allowance
-        )
-        self.contexts = context.Contexts()
-        self.membership = membership.Membership(
-            options, self.view, self.session
-        )
-        self.upstream = upstream_module.Upstream(
-            options, self.contexts, self.membership.on_upstream_change
-        )
-        self.membership.upstream = self.upstream
-        self.claimer = claims.Claimer(options.node_id, self.session)
-        self.owner = dispatch.Owner(
-            options,
-            self.view,
-            self.upstream,
-            self.contexts,
-            self.claimer,
-            crashes.CrashWatch(options.node_id, self.upstream, self.session),
-        )
-        self.forwarder = forward.Forwarder(identity, local_host)
-        self.relay = relay.Relay(
-            options,
-            picker_module.Picker(self.view, options.zone, random.Random()),
-            self.forwarder,
-            self.owner,
-        )
+        super().__init__(options, fleet)
         self.entry = entry.Entry(
             options,
             self.view,
@@ -117,7 +59,6 @@
             self.upstream,
             self.relay,
         )
-        self.peers = peer_server.PeerServer(identity, self.owner)
         self.server = http_server.HttpServer(
             {
                 options.caller_address: self.entry.caller_app,
@@ -128,10 +69,6 @@
             },
             options.max_header_bytes,
         )
-        self.tasks: list[asyncio.Task[None]] = []
-        # Set by a signal, or when a task of the node has failed.
-        self.stop_wanted = asyncio.Event()
-        self.view.on_change.append(self._on_view_change)
 
     @classmethod
     def from_config(
@@ -140,39 +77,14 @@
         """Return a node for checked settings."""
         return cls(options, fleet)
 
-    def _on_view_change(self) -> None:
-        self.forwarder.keep_only(
-            {member.address for member in self.view.members.values()}
-        )
-        rule = self.view.upstream_rule(self.options.node_id)
-        self.upstream.set_max_slots(rule.max_slots if rule else 0)
-
     def is_healthy(self) -> bool:
         """Return whether the node serves calls."""
         return self.session.is_fresh(clock.now())
 
     async def start(self) -> None:
         """Start all listeners and tasks."""
-        await self.peers.listen(self.options.link_address)
         await self.server.start()
-        for work in (
-            self.session.run(),
-            self.upstream.run(),
-            self.owner.run(),
-            self.membership.run(),
-        ):
-            self.tasks.append(asyncio.create_task(self._guard(work)))
-        _LOG.info('Node %s started.', self.options.node_id)
-
-    async def _guard(
-        self, work: collections.abc.Coroutine[None, None, None]
-    ) -> None:
-        """Run a task that must not end by itself."""
-        try:
-            await work
-        except Exception:
-            _LOG.exception('A task failed; the node stops.')
-            self.stop_wanted.set()
+        await self.start_parts()
 
     async def stop(self) -> None:
         """Planned stop: no request is cut.
@@ -182,8 +94,7 @@
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         self.entry.is_stopping = True
-        await self.membership.leave()
-        await asyncio.sleep(self.options.lease_s)
+        await self.settle()
         end = clock.now() + self.options.stop_timeout_s
         # Callers that keep calling must not use up the time of the requests
         # that run; from here on they find no listener and go elsewhere.
@@ -194,13 +105,7 @@
         ):
             await asyncio.sleep(_POLL_S)
         await self.server.stop(max(1.0, end - clock.now()))
-        await self.claimer.drain(_RECORD_WAIT_S)
-        self.peers.close_links()
-        self.forwarder.close()
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        _LOG.info('Node %s stopped.', self.options.node_id)
+        await self.stop_parts()
 
     def _is_busy(self) -> bool:
         return bool(
@@ -209,26 +114,9 @@
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the whole state for the admin listener; holds no key."""
-        return {
-            'node_id': self.options.node_id,
-            'zone': self.options.zone,
-            'service': self.options.service,
+        return self.dump_parts() | {
             'is_stopping': self.entry.is_stopping,
             'active': self.entry.active,
-            'session': self.session.dump(),
-            'upstream': self.upstream.dump(),
-            'owner': self.owner.dump(),
-            'relay': self.relay.dump(),
-            'members': {
-                node_id: {
-                    'service': member.service,
-                    'zone': member.zone,
-                    'address': member.address,
-                    'state': member.state.name.lower(),
-                    'is_drained': member.is_drained,
-                }
-                for node_id, member in self.view.members.items()
-            },
         }
 
 
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -42,6 +42,17 @@
 )
 
 
+# Owners that answered with one of these sent nothing to their upstream, so
+# that another try adds nothing to the load of the service.
+_UNSENT_KINDS = frozenset(
+    (
+        errors.ErrorKind.UPSTREAM_UNREACHABLE,
+        errors.ErrorKind.STOPPING,
+        errors.ErrorKind.OVERLOADED,
+    )
+)
+
+
 class Relay:
     """Sends calls to owners, the own node's owner side included."""
 
@@ -81,13 +92,13 @@
             )
         if self.options.is_pass_through:
             return await self._send_naively(call, route, attempts, deadline)
-        budget = self._budget(route.service)
+        budget = self._budget(call.service)
         budget.on_call(clock.now())
         left = attempts
         excluded: set[messages.NodeId] = set()
         answer: messages.Answer | None = None
         while True:
-            member = self.picker.pick(route.service, excluded, clock.now())
+            member = self.picker.pick(call.service, excluded, clock.now())
             if member is None:
                 break
             call.attempts = min(max(1, route.dispatch_attempts), left)
@@ -99,10 +110,12 @@
                 break
             if not is_admitted(call):
                 break
-            if not budget.try_retry(now):
-                _NO_RETRY.inc(service=route.service)
+            if answer.kind not in _UNSENT_KINDS and not (
+                budget.try_retry(now)
+            ):
+                _NO_RETRY.inc(service=call.service)
                 break
-            _RETRIED.inc(service=route.service)
+            _RETRIED.inc(service=call.service)
         if answer is None:
             return _no_upstream()
         answer.attempts_used = attempts - left
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -50,7 +50,9 @@
         options: settings.NodeOptions,
         contexts: context.Contexts,
         on_change: OnChange,
+        framing: upstream_client.Framing | None = None,
     ) -> None:
+        self.framing = framing
         self.options = options
         self.contexts = contexts
         # Called after each change of state or slots.
@@ -79,6 +81,11 @@
         """Start number of the upstream process, 0 when there is none."""
         return self.announcement.incarnation if self.announcement else 0
 
+    @property
+    def instance_id(self) -> str:
+        """Id of the upstream process, empty when it has none."""
+        return self.announcement.instance_id if self.announcement else ''
+
     @property
     def slots(self) -> int:
         """Requests that the upstream may run at once."""
@@ -123,9 +130,9 @@
             self.limit.set_max_slots(self.slots)
             self.on_change()
         if announcement.state == 'draining':
-            self._set_state(messages.UpstreamState.DRAINING)
+            self.set_state(messages.UpstreamState.DRAINING)
         else:
-            self._set_state(messages.UpstreamState.READY)
+            self.set_state(messages.UpstreamState.READY)
 
     def _start_incarnation(
         self, announcement: announcements.Announcement, now: float
@@ -144,6 +151,7 @@
             announcement.port,
             self.options.max_connections or announcement.connections,
             self.options.max_answer_bytes,
+            self.framing,
         )
         self.limit = concurrency.ConcurrencyLimit.from_config(
             self.options.limit_policy, self.slots
@@ -153,7 +161,8 @@
         self.is_stalled = False
         self.state = messages.UpstreamState.DOWN
 
-    def _set_state(self, state: messages.UpstreamState) -> None:
+    def set_state(self, state: messages.UpstreamState) -> None:
+        """Enter a state and tell the members of it."""
         if state is self.state:
             return
         _LOG.info('Upstream is %s.', state.name.lower())
@@ -172,7 +181,7 @@
     def mark_dead(self, incarnation: int) -> None:
         """Stop work for a process that died until the next announcement."""
         if incarnation == self.incarnation:
-            self._set_state(messages.UpstreamState.DOWN)
+            self.set_state(messages.UpstreamState.DOWN)
 
     def on_answer(self, now: float) -> None:
         """Note that the upstream answered a call."""
@@ -214,7 +223,7 @@
                 _LOG.warning(
                     'Upstream has not announced itself for %.1f s.', silence
                 )
-                self._set_state(messages.UpstreamState.DOWN)
+                self.set_state(messages.UpstreamState.DOWN)
             self._check_stall(now)
             await self._probe(now)
 
--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -4,7 +4,8 @@
 after a whole answer; after a timeout, a cancellation, a parse error or bytes
 that nobody asked for it is closed, so that a late answer cannot reach
 another request. An answer without Content-Length and chunked coding ends
-with the connection and cannot be told from a cut one; it counts as cut.
+with the connection and cannot be told from a cut one; it counts as cut,
+unless the upstreams are known to close without a reset only after the end.
 
 The connection is an asyncio.Protocol, not a stream: a stream gives no sight
 of bytes that arrive while the connection is idle.
@@ -16,6 +17,7 @@
 
 import asyncio
 import dataclasses
+import re
 import typing
 
 import httptools
@@ -41,8 +43,25 @@
 # another node is bounded, and one that is too long ends the whole link.
 MAX_HEADER_BYTES = 64 * 1024
 
+# Share of the idle time that an upstream promises which is used; the rest is
+# for the way there and for timers that fire late.
+_IDLE_SHARE = 0.8
+
 _CONNECT_TIMEOUT_S = 1.0
 _FIRST_FINAL_STATUS = 200
+_BODILESS = (204, 304)
+
+_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Framing:
+    """What is known of how the upstreams answer."""
+
+    # Header that gives back the id of the request; empty when none does.
+    echo_name: bytes = b''
+    # An answer without a length is whole when its connection ends cleanly.
+    ends_with_connection: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,8 +79,13 @@
 class _Connection(asyncio.Protocol):
     """One connection; collects the answer to the request that it carries."""
 
-    def __init__(self, max_answer_bytes: int) -> None:
+    def __init__(self, max_answer_bytes: int, framing: Framing) -> None:
         self.max_answer_bytes = max_answer_bytes
+        self.framing = framing
+        # Id that the answer must give back; empty when any will do.
+        self.echo = b''
+        # Time that the connection may be idle, seconds.
+        self.idle_limit_s = IDLE_LIMIT_S
         self.transport: asyncio.Transport | None = None
         self.is_closed = False
         # When the last answer was complete, seconds.
@@ -84,6 +108,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
+        if exc is None and self._is_unframed():
+            self.is_reusable = False
+            self._finish()
         if self.has_answer_bytes:
             self._fail(errors.ErrorKind.ANSWER_CUT)
         else:
@@ -107,6 +134,17 @@
             if not self.waiter.done():
                 self._fail(errors.ErrorKind.ANSWER_CUT, f'Bad answer: {e}.')
 
+    def _is_unframed(self) -> bool:
+        """Return whether the end of the connection ends the answer."""
+        return (
+            self.framing.ends_with_connection
+            and self.has_headers
+            and self.status >= _FIRST_FINAL_STATUS
+            and self.status not in _BODILESS
+            and find_header(self.answer_headers, b'content-length') is None
+            and find_header(self.answer_headers, b'transfer-encoding') is None
+        )
+
     def _fail(self, kind: errors.ErrorKind, detail: str = '') -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_exception(errors.RequestError(kind, detail))
@@ -130,10 +168,12 @@
             self.transport.abort()
 
     def start(
-        self, request: bytes, is_head: bool
+        self, request: bytes, is_head: bool, echo: bytes = b''
     ) -> asyncio.Future[UpstreamAnswer]:
         """Send a request and return the future of its answer."""
         assert self.transport is not None
+        self.echo = echo if self.framing.echo_name else b''
+        self.has_headers = False
         self.parser = httptools.HttpResponseParser(self)
         self.has_answer_bytes = False
         self.is_head = is_head
@@ -193,7 +233,24 @@
             self.is_reusable = False
         self._finish()
 
+    def _is_of_another(self) -> bool:
+        """Return whether the answer gives back the id of another request."""
+        if not self.echo:
+            return False
+        found = find_header(self.answer_headers, self.framing.echo_name)
+        return found is not None and found != self.echo
+
     def _finish(self) -> None:
+        if self._is_of_another():
+            # A late answer to an earlier request; the own one follows.
+            _STRAY.inc()
+            self.is_reusable = False
+            self.has_headers = False
+            return
+        promised = find_header(self.answer_headers, b'keep-alive')
+        found = _TIMEOUT.search(promised) if promised else None
+        if found is not None:
+            self.idle_limit_s = int(found[1]) * _IDLE_SHARE
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(
                 UpstreamAnswer(
@@ -211,7 +268,9 @@
         port: int,
         max_connections: int,
         max_answer_bytes: int,
+        framing: Framing | None = None,
     ) -> None:
+        self.framing = framing or Framing()
         self.host = host
         self.port = port
         # Most connections open at a time.
@@ -232,27 +291,30 @@
         header_block: bytes,
         body: bytes,
         deadline: float,
+        host: bytes = b'',
+        echo: bytes = b'',
     ) -> UpstreamAnswer:
         """Send one request and return its whole answer.
 
-        deadline is in seconds of clock.now(). Errors: RequestError of kind
-        UPSTREAM_UNREACHABLE when nothing was sent; UPSTREAM_LOST,
-        ANSWER_CUT, ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT after that. A
-        cancellation closes the connection, which tells the upstream.
+        host is the Host header, by default the address; echo is the id that
+        the answer gives back, if it gives one. deadline is in seconds of
+        clock.now(). Errors: RequestError of kind UPSTREAM_UNREACHABLE when
+        nothing was sent; UPSTREAM_LOST, ANSWER_CUT, ANSWER_TOO_LARGE or
+        UPSTREAM_TIMEOUT after that. A cancellation closes the connection,
+        which tells the upstream.
         """
         connection = await self._take(deadline)
-        request = b'%s %s HTTP/1.1\r\nhost: %s:%d\r\n%s' % (
+        request = b'%s %s HTTP/1.1\r\nhost: %s\r\n%s' % (
             method.encode(),
-            path.encode(),
-            self.host.encode(),
-            self.port,
+            path.encode('latin-1'),
+            host or b'%s:%d' % (self.host.encode(), self.port),
             header_block,
         )
         request += b'content-length: %d\r\n\r\n' % len(body) + body
         self.busy.add(connection)
         is_whole = False
         try:
-            future = connection.start(request, method == 'HEAD')
+            future = connection.start(request, method == 'HEAD', echo)
             timer = asyncio.get_running_loop().call_later(
                 max(0.0, deadline - clock.now()),
                 connection._fail,
@@ -275,7 +337,8 @@
         now = clock.now()
         while self.idle:
             connection = self.idle.pop()
-            is_fresh = now - connection.idle_since < IDLE_LIMIT_S
+            idle_s = now - connection.idle_since
+            is_fresh = idle_s < connection.idle_limit_s
             if is_fresh and connection.is_open():
                 return connection
             connection.close()
@@ -295,7 +358,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self.max_answer_bytes),
+                    lambda: _Connection(self.max_answer_bytes, self.framing),
                     self.host,
                     self.port,
                 )
--- a/godwitstall/routing/view.py
+++ b/godwitstall/routing/view.py
@@ -10,6 +10,7 @@
 import collections.abc
 
 from godwitstall import messages
+from godwitstall.routing import hosts
 from godwitstall.routing import table
 
 
@@ -23,6 +24,11 @@
         self.number = 0
         # Routes in force.
         self.routes = table.RouteTable([])
+        # Routes in force that name a host.
+        self.hosts = hosts.HostTable([])
+        # Rules for services by name, and bounds on what callers may send.
+        self.services: dict[str, messages.ServiceRule] = {}
+        self.limits = messages.ClientLimits()
         # Members by node id.
         self.members: dict[messages.NodeId, messages.Member] = {}
         # Workspaces by name.
@@ -104,7 +110,14 @@
         self, configuration: messages.Configuration
     ) -> None:
         self.number = configuration.number
-        self.routes = table.RouteTable(configuration.routes)
+        self.routes = table.RouteTable(
+            route for route in configuration.routes if not route.host
+        )
+        self.hosts = hosts.HostTable(
+            route for route in configuration.routes if route.host
+        )
+        self.services = {rule.name: rule for rule in configuration.services}
+        self.limits = configuration.limits
         self.workspaces = {
             workspace.name: workspace for workspace in configuration.workspaces
         }
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -47,12 +47,22 @@
     # Name of the fleet; a control process refuses a disk of another one.
     name: str
     # File with the secret that all processes of the fleet share.
-    secret_file: str
+    secret_file: str = ''
     # Links of all control processes by replica slot, 'host:port'.
-    control: dict[str, str]
+    control: dict[str, str] = dataclasses.field(default_factory=dict)
+    # Links of some control processes through which the others are found,
+    # 'host:port'; instead of control.
+    seeds: list[str] = dataclasses.field(default_factory=list)
+    # Port of links at the seeds, where their addresses name another one; 0
+    # means that they name this one.
+    seed_port: int = 0
+    # Links prove no secret. Only for a network that nobody else reaches.
+    is_without_secret: bool = False
 
     def secret(self) -> bytes:
         """Return the shared secret without the white space around it."""
+        if self.is_without_secret:
+            return b''
         return pathlib.Path(self.secret_file).read_bytes().strip()
 
 
@@ -112,6 +122,11 @@
     default_deadline_ms: int = 10_000
     # Longest time for running calls at a planned stop, seconds.
     stop_timeout_s: float = 30.0
+    # Goes on with the last known configuration when control is lost, in
+    # place of refusing all calls.
+    serves_without_lease: bool = False
+    # Time that a planned stop takes at least, seconds; 0 means one lease.
+    stop_settle_s: float = 0.0
     # Relays without limits and with naive retries, for comparison runs.
     is_pass_through: bool = False
 
@@ -130,6 +145,13 @@
     admin_address: str
     # Data folder on the disk.
     data_folder: str
+    # Where other processes connect, 'host:port'; needed with seeds only.
+    link_address: str = ''
+    # Format an empty data folder at the start. Without it an empty folder is
+    # an error, which keeps a disk that is not attached from being replaced.
+    formats_empty_disk: bool = False
+    # With formats_empty_disk: the disk belongs to a new fleet.
+    is_new_fleet: bool = False
     # Shortest time without a leader before an election, seconds.
     election_min_s: float = 0.5
     # Longest time without a leader before an election, seconds.
@@ -189,6 +211,8 @@
     'max_connections': (0, 100_000),
     'default_deadline_ms': (1, 3_600_000),
     'stop_timeout_s': (0, 3600),
+    'stop_settle_s': (0, 3600),
+    'seed_port': (0, 65_535),
     'election_min_s': (0.05, 60),
     'election_max_s': (0.05, 120),
     'append_interval_ms': (5, 10_000),
@@ -218,6 +242,12 @@
         if name not in ('fleet', 'logs', own)
     ]
     fleet = _fill(path, tables, 'fleet', FleetOptions, problems)
+    problems += _missing_fleet_keys(path, tables.get('fleet', {}))
+    if fleet is not None and fleet.seed_port:
+        fleet.seeds = [
+            f'{seed.rpartition(":")[0]}:{fleet.seed_port}'
+            for seed in fleet.seeds
+        ]
     options = _fill(path, tables, own, kind, problems)
     log_options = _fill(path, tables, 'logs', LogOptions, problems)
     if log_options is not None:
@@ -317,6 +347,12 @@
             word = 'text' if kind is str else 'true or false'
             raise ValueError(f'must be {word}, not {value!r}')
         return value
+    if typing.get_origin(kind) is list:
+        if not isinstance(value, list) or not all(
+            isinstance(item, str) for item in value
+        ):
+            raise ValueError('must be a list of texts')
+        return value
     if typing.get_origin(kind) is dict:
         if not isinstance(value, dict) or not all(
             isinstance(item, str) for item in value.values()
@@ -380,20 +416,50 @@
     ]
 
 
+def _missing_fleet_keys(path: pathlib.Path, table: typing.Any) -> list[str]:
+    """Return the keys that are needed unless another one stands for them."""
+    if not isinstance(table, dict):
+        return []
+    return [
+        f'{path}: fleet.{key}: is missing'
+        for key, instead in (
+            ('secret_file', 'is_without_secret'),
+            ('control', 'seeds'),
+        )
+        if key not in table and not table.get(instead)
+    ]
+
+
 def _fleet_problems(path: pathlib.Path, fleet: FleetOptions) -> list[str]:
     problems = []
+    if fleet.control and fleet.seeds:
+        problems.append(f'{path}: fleet.seeds: cannot stand beside control')
+    for address in fleet.seeds:
+        try:
+            _check_reachable(address)
+        except ValueError as e:
+            problems.append(f'{path}: fleet.seeds: {e}')
     for slot, address in fleet.control.items():
         try:
             _check_reachable(address)
         except ValueError as e:
             problems.append(f'{path}: fleet.control.{slot}: {e}')
-    if len(fleet.control) not in (1, 3, 5, 7):
+    if fleet.control and len(fleet.control) not in (1, 3, 5, 7):
         problems.append(
             f'{path}: fleet.control: needs 1, 3, 5 or 7 replicas, '
             f'not {len(fleet.control)}'
         )
     if len(set(fleet.control.values())) != len(fleet.control):
         problems.append(f'{path}: fleet.control: an address stands twice')
+    if fleet.is_without_secret:
+        if fleet.secret_file:
+            problems.append(
+                f'{path}: fleet.secret_file: is not used with '
+                f'is_without_secret'
+            )
+        return problems
+    if not fleet.secret_file:
+        return problems
     try:
         if len(fleet.secret()) < 16:
             problems.append(
@@ -427,7 +493,17 @@
     fleet: FleetOptions | None,
 ) -> list[str]:
     problems = []
-    if fleet is not None and options.slot not in fleet.control:
+    if fleet is not None and fleet.seeds and not options.link_address:
+        problems.append(f'{path}: control.link_address: is missing')
+    if options.is_new_fleet and not options.formats_empty_disk:
+        problems.append(
+            f'{path}: control.is_new_fleet: needs formats_empty_disk'
+        )
+    if (
+        fleet is not None
+        and fleet.control
+        and (options.slot not in fleet.control)
+    ):
         problems.append(
             f'{path}: control.slot: {options.slot!r} is not in fleet.control'
         )
