Share rates without a ledger, watch silent links, and test the adapter

Cause: while control had no leader each call over its held tokens waited one second and got 503; calls on a link that went silent waited for their deadline. The parts of the platform had no tests.

Ruled out: a longer life of tokens, since a cut-off node could spend them beside a new leader's grants.

--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -772,6 +772,12 @@
 
         Returns False when the message is not for consensus.
         """
+        if isinstance(message, messages.Introduce):
+            directory = self.discovery.on_introduce(message)
+            directory.seq = message.seq
+            with contextlib.suppress(errors.LinkError):
+                peer.send(directory)
+            return True
         match message:
             case (
                 messages.VoteRequest()
--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -43,7 +43,6 @@
     messages.GrantReply,
     messages.QueryReply,
     messages.BarrierReply,
-    messages.Directory,
     messages.Done,
 ]
 
@@ -116,8 +115,6 @@
                 self._spawn(self._reply(link, message, self._query))
             case messages.BarrierRequest():
                 self._spawn(self._reply(link, message, self._barrier))
-            case messages.Introduce():
-                self._spawn(self._reply(link, message, self._introduce))
             case messages.LivenessReport():
                 self._spawn(self._reply(link, message, self._liveness))
             case _:
@@ -246,9 +243,6 @@
         index = await self.replica.read_barrier(_REQUEST_TIMEOUT_S)
         return messages.BarrierReply(index=index)
 
-    async def _introduce(self, request: messages.Introduce) -> _Reply:
-        return self.replica.discovery.on_introduce(request)
-
     async def _liveness(self, request: messages.LivenessReport) -> _Reply:
         self.leadership.on_report(request.beats, clock.now())
         return messages.Done()
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -132,6 +132,8 @@
         self.active_at = clock.now()
         # When the request that is being read began; 0 between requests.
         self.began_at = 0.0
+        # Bytes read since the last request ended, at most up to its body.
+        self.header_bytes = 0
         # No further request is read.
         self.is_ending = False
         self.is_paused = False
@@ -140,7 +142,6 @@
     def _reset(self) -> None:
         self.url = b''
         self.headers: Pairs = []
-        self.header_bytes = 0
         self.is_in_headers = True
         self.body: list[bytes] = []
         self.body_bytes = 0
@@ -181,9 +182,8 @@
             return
         if not self.began_at:
             self.began_at = clock.now()
-            # A line without an end is not reported by the parser.
-            self.header_bytes = 0
         if self.is_in_headers:
+            # A line without an end is not reported by the parser.
             self.header_bytes += len(data)
         try:
             self.parser.feed_data(data)
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -236,6 +236,11 @@
         finally:
             self.close()
 
+    def abort(self) -> None:
+        """Close without waiting for the peer to read what is unsent."""
+        self.writer.transport.abort()
+        self.close()
+
     def close(self) -> None:
         """Close the connection and fail all requests that wait."""
         if self.is_closed:
--- a/godwitstall/node/forward.py
+++ b/godwitstall/node/forward.py
@@ -26,7 +26,15 @@
 # waits this much longer for that answer, seconds.
 _ANSWER_GRACE_S = 0.25
 
-_CONNECT_TIMEOUT_S = 1.0
+# A peer on the same network connects within milliseconds; calls wait for it.
+_CONNECT_TIMEOUT_S = 0.4
+
+# Time between two looks at links whose calls wait, and silence of a link
+# after which the peer is asked for a sign of life or given up, seconds. A
+# link can go silent without an end while a new one works.
+_WATCH_INTERVAL_S = 0.2
+_ASK_AFTER_S = 0.4
+_GIVE_UP_AFTER_S = 1.2
 
 # After a failed connection the peer is not tried again for this long.
 _RECONNECT_S = 0.5
@@ -46,6 +54,9 @@
         # Calls that wait for a link or an answer.
         self.users = 0
         self.reader: asyncio.Task[None] | None = None
+        # When the peer was last heard or asked for a sign, seconds.
+        self.heard_at = 0.0
+        self.asked_at = 0.0
         # Serves to open one connection at a time.
         self.lock = asyncio.Lock()
         # No new connection before this time, seconds.
@@ -59,15 +70,37 @@
         self, link: link_module.Link, message: messages.Message
     ) -> None:
         """Hand an answer to its call."""
+        self.heard_at = clock.now()
         if not isinstance(message, messages.Answer):
             _LOG.warning('Unexpected %s.', type(message).__name__)
             return
+        if not message.call_id:
+            return
         sent_over, future = self.waiting.get(message.call_id, (None, None))
         if future is None or future.done() or sent_over is not link:
             _STRAY.inc()
             return
         future.set_result(message)
 
+    def watch(self, now: float) -> None:
+        """Ask a silent peer for a sign of life, or give the link up."""
+        link = self.link
+        if link is None or link.is_closed or not self.waiting:
+            self.heard_at = now
+            self.asked_at = 0.0
+            return
+        if not self.asked_at:
+            if now - self.heard_at > _ASK_AFTER_S:
+                self.asked_at = now
+                with contextlib.suppress(errors.LinkError):
+                    link.send(messages.Cancel(0))
+        elif self.heard_at >= self.asked_at:
+            self.asked_at = 0.0
+        elif now - self.asked_at > _GIVE_UP_AFTER_S - _ASK_AFTER_S:
+            _LOG.warning('Node at %s is silent.', self.address)
+            self.asked_at = 0.0
+            link.abort()
+
     async def read(self, link: link_module.Link) -> None:
         """Read the link to its end, then fail the calls on it.
 
@@ -96,6 +129,14 @@
         self.peers: dict[str, _Peer] = {}
         self.call_ids = itertools.count(1)
 
+    async def run(self) -> None:
+        """Watch for links that went silent until cancelled."""
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL_S)
+            now = clock.now()
+            for peer in list(self.peers.values()):
+                peer.watch(now)
+
     async def call(self, address: str, call: messages.Call) -> messages.Answer:
         """Send a call to the owner at address and return its answer.
 
@@ -175,6 +216,8 @@
                     errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
                 ) from e
             peer.link = link
+            peer.heard_at = clock.now()
+            peer.asked_at = 0.0
             peer.reader = asyncio.create_task(peer.read(link))
 
     def keep_only(self, addresses: set[str]) -> None:
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -15,6 +15,7 @@
 from godwitstall.node import gateway
 from godwitstall.node import parts
 from godwitstall.node import upstream_client
+from godwitstall.rates import local_share
 from godwitstall import settings
 
 _LOG = logs.get('node')
@@ -48,6 +49,7 @@
             {options.caller_address: self.gateway.serve}
         )
         self.is_stopping = False
+        self.share = self.allowance.share = local_share.LocalShare()
 
     @classmethod
     def from_config(
@@ -61,6 +63,10 @@
 
     def _on_view_change(self) -> None:
         super()._on_view_change()
+        self.share.set_rates(
+            {ws.name: ws.rate for ws in self.view.workspaces.values()},
+            len(self.view.members),
+        )
         limits = self.view.limits
         held = self.listener.limits
         held.max_header_bytes = limits.max_header_bytes or (
--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -111,6 +111,7 @@
             self.upstream.run(),
             self.owner.run(),
             self.membership.run(),
+            self.forwarder.run(),
         ):
             self.tasks.append(asyncio.create_task(self._guard(work)))
         _LOG.info('Node %s started.', self.options.node_id)
--- a/godwitstall/node/peer_server.py
+++ b/godwitstall/node/peer_server.py
@@ -1,6 +1,7 @@
 """Takes calls from other nodes and answers them through the owner side."""
 
 import asyncio
+import contextlib
 import functools
 
 from godwitstall import errors
@@ -44,6 +45,11 @@
                 task.add_done_callback(
                     functools.partial(_forget, calls, message.call_id)
                 )
+            case messages.Cancel(call_id=0):
+                # The peer asks whether this side still hears it.
+                load = self.owner.load()
+                with contextlib.suppress(errors.LinkError):
+                    link.send(messages.Answer(call_id=0, load=load))
             case messages.Cancel():
                 running = calls.get(message.call_id)
                 if running is not None:
--- a/godwitstall/rates/allowance.py
+++ b/godwitstall/rates/allowance.py
@@ -18,6 +18,7 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
+from godwitstall.rates import local_share
 
 # Time for which tokens are asked ahead of demand, seconds: one grant interval
 # of 200 ms and half of one for the way to the leader and jitter.
@@ -37,6 +38,9 @@
 # is over its rate: 20 a second from each instead of one a round trip.
 _MAX_PAUSE_S = 0.05
 
+# Longest time to come back that a node without a ledger tells, seconds.
+_MAX_SHARE_WAIT_S = 2.0
+
 # A ledger that gave no reply is worth another try after this, milliseconds.
 _NO_REPLY_RETRY_MS = 1000
 
@@ -86,6 +90,8 @@
         self.wait_s = wait_s
         # Called when a call starts to wait.
         self.on_need: list[collections.abc.Callable[[], None]] = []
+        # What is spent without a ledger; None means nothing.
+        self.share: local_share.LocalShare | None = None
         self._purses: dict[str, _Purse] = {}
         # Number of the last request.
         self._number = 0
@@ -111,6 +117,9 @@
             return
         purse = self._purse(workspace, now)
         purse.calls += 1
+        if self.share is not None and self.share.began_at is not None:
+            self._take_share(self.share, workspace, now)
+            return
         if now < purse.refused_until:
             raise _refusal(workspace, purse.refused_until - now)
         loop = asyncio.get_running_loop()
@@ -132,11 +141,25 @@
         )
         try:
             await waiter.future
+        except errors.RequestError as e:
+            if self.share is None or e.kind is not (
+                errors.ErrorKind.CONTROL_LOST
+            ):
+                raise
+            self._take_share(self.share, workspace, clock.now())
         finally:
             timer.cancel()
             if waiter in purse.waiters:
                 purse.waiters.remove(waiter)
 
+    def _take_share(
+        self, share: local_share.LocalShare, workspace: str, now: float
+    ) -> None:
+        if share.try_take(workspace, now):
+            return
+        rate = max(share.rate_of(workspace, now), 1 / _MAX_SHARE_WAIT_S)
+        raise _refusal(workspace, 1 / rate)
+
     def needs_grant_now(self) -> bool:
         """Return whether a call waits and no request is open."""
         return not self._is_open and any(
@@ -193,6 +216,8 @@
         if not self._is_open or not wants or wants[0].number != self._number:
             return
         self._is_open = False
+        if self.share is not None:
+            self.share.end(now)
         for grant in grants:
             purse = self._purse(grant.workspace, now)
             purse.reported += grant.tokens
@@ -215,6 +240,8 @@
         Tokens of a reply that comes later are not used.
         """
         self._is_open = False
+        if self.share is not None:
+            self.share.begin(clock.now())
         self._forget_asked()
 
     def dump(self, now: float) -> dict[str, dict[str, float]]:
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,7 @@
+"""Puts the adapter on the path, as its start script does."""
+
+import pathlib
+import sys
+
+_FOLDER = pathlib.Path(__file__).resolve().parents[2] / 'platform'
+sys.path.insert(0, str(_FOLDER))
--- /dev/null
+++ b/tests/platform/test_node.py
@@ -0,0 +1,150 @@
+"""Announcements of the platform's upstreams at their own node."""
+
+import asyncio
+import json
+import typing
+
+from adapter import names
+from adapter import node as node_adapter
+import pytest
+
+from godwitstall import http_listener
+from godwitstall import messages
+from godwitstall.node import gateway_node
+from godwitstall import settings
+
+_READY = messages.UpstreamState.READY
+_DRAINING = messages.UpstreamState.DRAINING
+
+
+class _Harness:
+    """A node that is not started, with its announcement address."""
+
+    def __init__(self) -> None:
+        options = settings.NodeOptions(
+            node_id=messages.NodeId('n1'),
+            zone='z1',
+            region='r1',
+            link_address='127.0.0.1:1',
+            caller_address='127.0.0.1:2',
+            upstream_address='127.0.0.1:3',
+            admin_address='127.0.0.1:4',
+            service=messages.ServiceName('siop'),
+        )
+        fleet = settings.FleetOptions(
+            'tests', seeds=['127.0.0.1:5'], is_without_secret=True
+        )
+        self.node = gateway_node.GatewayNode.from_config(
+            options, fleet, names.DIALECT
+        )
+        self.adapter = node_adapter.Node(self.node)
+
+    def call(self, target: str, body: bytes = b'') -> int:
+        request = http_listener.Request('POST', target, [], body, 0.0)
+        return asyncio.run(self.adapter.serve_announcement(request)).status
+
+    def beat(self, instance_id: str, **changes: typing.Any) -> int:
+        content = {
+            'service': 'siop',
+            'address': '127.0.0.1:9000',
+            'zone': 'z1',
+            'version': 'v1',
+            'concurrency': 87,
+            'state': 'ready',
+            'coldRemaining': '0ms',
+            'sequence': 1,
+            'born': 1000,
+        } | changes
+        return self.call(
+            f'/-/rpc?call=instances.heartbeat&of={instance_id}',
+            json.dumps(content).encode(),
+        )
+
+    def leave(self, instance_id: str) -> int:
+        return self.call(f'/-/rpc?call=instances.deregister&of={instance_id}')
+
+
+def test_announced_upstream_gets_work() -> None:
+    """Guards against an upstream that never becomes ready."""
+    harness = _Harness()
+    assert harness.beat('i-1') == 200
+    assert harness.node.upstream.state is _READY
+    assert harness.node.upstream.slots == 87
+    assert harness.node.upstream.instance_id == 'i-1'
+
+
+def test_late_heartbeat_does_not_undo_a_drain() -> None:
+    """Guards against work for an upstream that was told not to get any."""
+    harness = _Harness()
+    harness.beat('i-1', sequence=4)
+    harness.beat('i-1', sequence=6, state='draining')
+    assert harness.beat('i-1', sequence=5) == 200
+    assert harness.node.upstream.state is _DRAINING
+
+
+def test_heartbeat_after_the_farewell_does_not_undo_it() -> None:
+    """Guards against work for an upstream that leaves without draining."""
+    harness = _Harness()
+    harness.beat('i-1', sequence=4)
+    assert harness.leave('i-1') == 200
+    assert harness.beat('i-1', sequence=5) == 200
+    assert harness.node.upstream.state is _DRAINING
+
+
+def test_late_heartbeat_of_the_process_before_changes_nothing() -> None:
+    """Guards against requests that expect a process that has ended."""
+    harness = _Harness()
+    harness.beat('i-2', born=2000)
+    assert harness.beat('i-1', born=1000, sequence=9) == 200
+    assert harness.node.upstream.instance_id == 'i-2'
+
+
+def test_new_process_under_the_same_id_starts_afresh() -> None:
+    """Guards against a restart whose counts start anew being ignored."""
+    harness = _Harness()
+    harness.beat('i-1', sequence=40)
+    harness.leave('i-1')
+    harness.beat('i-1', born=2000, sequence=1)
+    assert harness.node.upstream.state is _READY
+
+
+def test_farewell_of_another_process_changes_nothing() -> None:
+    """Guards against a late farewell that takes the successor away."""
+    harness = _Harness()
+    harness.beat('i-2', born=2000)
+    assert harness.leave('i-1') == 200
+    assert harness.node.upstream.state is _READY
+
+
+_FORGED: dict[str, dict[str, typing.Any]] = {
+    'other service': {'service': 'gwydd'},
+    'unknown state': {'state': 'asleep'},
+    'no slots': {'concurrency': None},
+    'slots of another type': {'concurrency': 'many'},
+    'address without port': {'address': 'here'},
+    'address of another type': {'address': 7},
+    'endless sequence': {'sequence': float('inf')},
+}
+
+
+@pytest.mark.parametrize('name', _FORGED)
+def test_forged_heartbeat_is_refused(name: str) -> None:
+    """Guards against an upstream that is none."""
+    harness = _Harness()
+    assert harness.beat('i-1', **_FORGED[name]) == 400
+    assert harness.node.upstream.state is messages.UpstreamState.DOWN
+
+
+@pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'7', b'{' * 5000])
+def test_unreadable_heartbeat_is_refused(body: bytes) -> None:
+    """Guards against an unhandled exception on the announcement address."""
+    harness = _Harness()
+    target = '/-/rpc?call=instances.heartbeat&of=i-1'
+    assert harness.call(target, body) == 400
+
+
+def test_other_calls_are_not_found() -> None:
+    """Guards against calls that pass for announcements."""
+    harness = _Harness()
+    assert harness.call('/-/rpc?call=other') == 404
+    assert harness.call('/other') == 404
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -527,9 +527,10 @@
 
 def test_every_bounded_option_exists() -> None:
     """Guards against a bound that a renamed option has lost."""
+    kinds: list[typing.Any] = [kind for kind, _ in _FILES.values()]
     names = {
         field.name
-        for kind, _ in _FILES.values()
+        for kind in [*kinds, settings.FleetOptions]
         for field in dataclasses.fields(kind)
     }
     assert set(settings._RANGES) <= names
