Let chains that began go first, and hold back new ones that would fail

Ruled out: a longer queue (all calls late), and a throttle on the way down (the work is done by then).

Change: an onward call is known by its id, which has that of a request running at this node before a dot; it takes over rank, priority and workspace and has a band of its own; it waits until its deadline. The owner of a chain's first service lets only somewhat more chains begin than end well. Retries below the highest priority use half of the budget; a failed idempotent call goes to another upstream once; upstreams that fail calls are chosen less. The rank of a workspace goes before the priority of the route.

--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -62,6 +62,7 @@
     NOT_LEADER = 31
     NOT_ADMITTED = 32
     BAD_MESSAGE = 33
+    CHAIN_OVERLOADED = 34
 
     @property
     def label(self) -> str:
@@ -116,6 +117,9 @@
     ErrorKind.OVERLOADED: AnswerRule(
         503, _NOT_RUN, True, 'The upstream has no free slot.'
     ),
+    ErrorKind.CHAIN_OVERLOADED: AnswerRule(
+        503, _NOT_RUN, False, 'A service further down is overloaded.'
+    ),
     ErrorKind.NO_UPSTREAM: AnswerRule(
         503, _NOT_RUN, False, 'No upstream of the service is ready.'
     ),
--- a/godwitstall/limits/fair_queue.py
+++ b/godwitstall/limits/fair_queue.py
@@ -26,6 +26,9 @@
 
 from godwitstall import messages
 
+# Ranks of workspaces that are told apart; higher ones count as the last.
+ORDERS = 4
+
 # Longest wait while the queue stands, as a share of max_wait_s.
 _OVERLOAD_SHARE = 0.2
 
@@ -58,6 +61,12 @@
     enqueued_at: float = 0.0
     # Whatever the caller needs to go on.
     payload: typing.Any = None
+    # Rank of the workspace, which goes before the priority.
+    order: int = 0
+    # A chain that has begun needs this request. It goes before requests of
+    # its rank and priority that begin a chain, and waits until its deadline:
+    # what the chain has cost so far would be lost.
+    is_onward: bool = False
     # Kept by the queue.
     state: _State = dataclasses.field(default=_State.NEW, init=False)
 
@@ -102,7 +111,9 @@
         # Longest wait, seconds.
         self.max_wait_s = max_wait_s
         self._overload_wait_s = max_wait_s * _OVERLOAD_SHARE
-        self._bands = [_Band() for _ in messages.Priority]
+        self._bands = [
+            _Band() for _ in range(ORDERS * len(messages.Priority) * 2)
+        ]
         self._count = 0
         self._order = itertools.count()
         # (time at which the item is late, number, item).
@@ -138,7 +149,7 @@
         if not self._count:
             self._empty_at = now
         item.state = _State.QUEUED
-        band = self._bands[item.priority.value]
+        band = self._band_of(item)
         flow = band.flows.get(item.workspace)
         if flow is None:
             flow = band.flows[item.workspace] = _Flow()
@@ -149,9 +160,13 @@
         flow.count += 1
         band.count += 1
         self._count += 1
-        expiry = min(item.deadline, now + self.max_wait_s)
+        expiry = item.deadline
+        if not item.is_onward:
+            expiry = min(expiry, now + self.max_wait_s)
         heapq.heappush(self._expiries, (expiry, next(self._order), item))
-        if item.priority is not messages.Priority.PAYMENT:
+        if not item.is_onward and (
+            item.priority is not messages.Priority.PAYMENT
+        ):
             self._arrivals.append(item)
         if self._count > self.max_length:
             return self._evict()
@@ -226,9 +241,14 @@
 
     def _is_alone(self, item: Item) -> bool:
         """Return whether no other item of its workspace waits beside it."""
-        flow = self._bands[item.priority.value].flows[item.workspace]
+        flow = self._band_of(item).flows[item.workspace]
         return flow.count == 1
 
+    def _band_of(self, item: Item) -> _Band:
+        order = min(max(item.order, 0), ORDERS - 1)
+        place = order * len(messages.Priority) + item.priority.value
+        return self._bands[2 * place + (not item.is_onward)]
+
     def _collect(self, now: float) -> None:
         """Move all late items out of the queue."""
         while self._expiries:
@@ -275,7 +295,7 @@
     def _take_out(self, item: Item, state: _State) -> None:
         """Count an item out; its places in the heaps are skipped later."""
         item.state = state
-        band = self._bands[item.priority.value]
+        band = self._band_of(item)
         flow = band.flows[item.workspace]
         flow.count -= 1
         band.count -= 1
--- a/godwitstall/limits/retry_budget.py
+++ b/godwitstall/limits/retry_budget.py
@@ -30,10 +30,14 @@
         self._advance(now)
         self._calls[self._second % WINDOW_S] += 1
 
-    def try_retry(self, now: float) -> bool:
-        """Return whether one more retry is within the budget; count it."""
+    def try_retry(self, now: float, part: float = 1.0) -> bool:
+        """Return whether one more retry is within the budget; count it.
+
+        part is the share of the budget that may be in use after it.
+        """
         self._advance(now)
         allowed = max(self.ratio * sum(self._calls), self.min_per_s * WINDOW_S)
+        allowed *= part
         if sum(self._retries) + 1 > allowed:
             return False
         self._retries[self._second % WINDOW_S] += 1
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -205,6 +205,10 @@
     request_id: bytes = b''
     # Host header for the upstream; empty means its address.
     host: bytes = b''
+    # Rank of the workspace, which goes before the priority; 0 is the highest.
+    order: int = 0
+    # A chain that has begun needs this call.
+    is_onward: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/godwitstall/node/context.py
+++ b/godwitstall/node/context.py
@@ -32,6 +32,8 @@
     deadline: float
     # Runs that onward calls may still use.
     budget: chain_attempts.ChainBudget
+    # Rank of the workspace.
+    order: int
     # Fingerprint of the request.
     fingerprint: bytes
     # When it was dispatched, seconds of clock.now().
@@ -79,8 +81,15 @@
     def open(
         self, call: messages.Call, deadline: float, now: float
     ) -> Running:
-        """Enter a request that is about to be dispatched."""
-        token = secrets.token_hex(_TOKEN_BYTES)
+        """Enter a request that is about to be dispatched.
+
+        Its token is random, or the id that the mesh gives each request. An
+        id that runs here already gets a random one: two runs of one request
+        are not told apart by their onward calls.
+        """
+        token = call.request_id.decode('latin-1')
+        if not token or token in self.running:
+            token = secrets.token_hex(_TOKEN_BYTES)
         entry = Running(
             token,
             call.workspace,
@@ -89,6 +98,7 @@
             call.priority,
             deadline,
             chain_attempts.ChainBudget(max(0, call.attempts - 1)),
+            call.order,
             call.fingerprint,
             now,
         )
@@ -103,6 +113,16 @@
         """Return the running request of a context, None when it ended."""
         return self.running.get(token)
 
+    def parent_of(self, request_id: bytes) -> Running | None:
+        """Return the running request that an onward call belongs to.
+
+        Where requests have ids, the id of an onward call is that of its
+        parent with a suffix behind a dot. Only a request that runs here now
+        counts, so an id alone gives nobody a parent.
+        """
+        parent_id, dot, _ = request_id.rpartition(b'.')
+        return self.find(parent_id.decode('latin-1')) if dot else None
+
     def oldest_start(self) -> float | None:
         """Return since when the upstream owes its oldest answer.
 
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -139,16 +139,17 @@
             if clock.now() - started > self.options.lease_s:
                 pause_s = _RECONNECT_MIN_S
             await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
-            pause_s = min(_RECONNECT_MAX_S, pause_s * 2)
+            longest_s = min(_RECONNECT_MAX_S, self.options.lease_s / 4)
+            pause_s = min(longest_s, pause_s * 2)
 
     async def _serve(self, address: str) -> None:
         local_host, _ = link_module.split_address(self.options.link_address)
         link = await link_module.connect(
             address,
             self.identity,
-            # A replica that does not answer must leave time for another one
+            # Replicas that do not answer must leave time for another one
             # before the lease ends.
-            min(link_module.HANDSHAKE_TIMEOUT_S, self.options.lease_s / 2),
+            min(link_module.HANDSHAKE_TIMEOUT_S, self.options.lease_s / 4),
             local_host,
         )
         self.link = link
@@ -212,6 +213,7 @@
         self.incarnation_step *= 2
 
     async def _beat(self, link: link_module.Link) -> None:
+        fresh_at = clock.now()
         while True:
             sent_at = clock.now()
             reply = await link.request(
@@ -229,11 +231,18 @@
                 raise errors.LinkError(
                     errors.ErrorKind.STOPPING, 'The replica is stopping.'
                 )
-            if not reply.is_fresh:
+            if reply.is_fresh:
+                fresh_at = sent_at
+            elif sent_at - fresh_at > self.options.lease_s / 2:
                 raise errors.LinkError(
                     errors.ErrorKind.CONTROL_LOST,
                     'The replica cannot confirm its state.',
                 )
+            else:
+                # There may be an election, which another one would not hear
+                # the end of earlier.
+                await asyncio.sleep(_RECONNECT_MIN_S)
+                continue
             if self.view.index >= reply.applied_index:
                 self.lease_until = max(
                     self.lease_until, sent_at + self.options.lease_s
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -8,11 +8,13 @@
 import asyncio
 import collections.abc
 import dataclasses
+import random
 import secrets
 import typing
 
 from godwitstall import clock
 from godwitstall import errors
+from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
 from godwitstall import logs
 from godwitstall import messages
@@ -47,6 +49,10 @@
 _COME_BACK_STATUSES = frozenset((429, 503, 504))
 _RETRY_AFTER_MS = 1000
 
+# A chain that is held back is worth another try after about this, ms. Half
+# of it up and down keeps those that were held back together apart.
+_CHAIN_RETRY_MS = 1000
+
 _FIRST_ERROR_STATUS = 400
 _MISDIRECTED = 421
 
@@ -112,6 +118,8 @@
         self.active = 0
         # Wakes the task that drops waiting work; without work it sleeps.
         self.has_queued = asyncio.Event()
+        self.throttle = chain_throttle.ChainThrottle()
+        self.random = random.Random()
         # One suspect at a time, so that a crash tells which one it was.
         self.suspect_lock = asyncio.Lock()
 
@@ -154,6 +162,7 @@
             return await self._dispatch(call, deadline)
         if self.view.is_quarantined(call.fingerprint):
             raise errors.RequestError(errors.ErrorKind.QUARANTINED)
+        self._check_chain(call)
         if not self.view.is_suspect(call.fingerprint):
             return await self._run_in_slot(call, deadline)
         await self._take_suspect_turn(deadline)
@@ -164,6 +173,25 @@
         finally:
             self.suspect_lock.release()
 
+    def _check_chain(self, call: messages.Call) -> None:
+        """Refuse a new chain that would probably fail further down."""
+        if self._is_bound_chain(call) and not self.throttle.admits(
+            call.route_name, self.random.random(), clock.now()
+        ):
+            raise errors.RequestError(
+                errors.ErrorKind.CHAIN_OVERLOADED,
+                retry_after_ms=int(
+                    _CHAIN_RETRY_MS * self.random.uniform(0.5, 1.5)
+                ),
+            )
+
+    def _is_bound_chain(self, call: messages.Call) -> bool:
+        return (
+            self.names is not None
+            and not call.is_onward
+            and call.priority is not messages.Priority.PAYMENT
+        )
+
     async def _take_suspect_turn(self, deadline: float) -> None:
         """Wait for the suspect before, as long as the queue may take."""
         left_s = deadline - clock.now()
@@ -207,7 +235,13 @@
         future: asyncio.Future[None]
         future = asyncio.get_running_loop().create_future()
         item = fair_queue.Item(
-            call.workspace, call.priority, deadline, now, future
+            call.workspace,
+            call.priority,
+            deadline,
+            now,
+            future,
+            call.order,
+            call.is_onward,
         )
         shed = self.queue.push(item, now)
         self.has_queued.set()
@@ -319,6 +353,11 @@
         finally:
             self.contexts.close(entry)
         ended = clock.now()
+        if entry.onward_s and self._is_bound_chain(call):
+            is_well = not entry.has_given_up and outcome.kind is (
+                errors.ErrorKind.NONE
+            )
+            self.throttle.on_end(call.route_name, is_well, ended)
         self._learn(outcome, entry, ended)
         if outcome.is_refused:
             self.upstream.mark_dead(incarnation)
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -17,6 +17,7 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import context
 from godwitstall.node import control_session
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import digests
@@ -36,6 +37,9 @@
 _NO_CONFIGURATION_RETRY_MS = 500
 
 
+_FIRST_SERVER_ERROR = 500
+
+
 class Gateway:
     """Serves callers and onward calls of the own upstream alike."""
 
@@ -46,6 +50,7 @@
         view: view_module.View,
         session: control_session.ControlSession,
         allowance: allowance_module.Allowance,
+        contexts: context.Contexts,
         sender: relay.Relay,
     ) -> None:
         self.options = options
@@ -53,6 +58,7 @@
         self.view = view
         self.session = session
         self.allowance = allowance
+        self.contexts = contexts
         self.sender = sender
         self.random = random.Random()
         # Headers that never come from a caller.
@@ -107,6 +113,37 @@
             if not self.allowance.try_take(name, clock.now()):
                 self.session.grant_wanted.set()
                 await self.allowance.take(name, deadline)
+        parent = self.contexts.parent_of(call.request_id)
+        if parent is None:
+            return await self._send(call, route, deadline)
+        call.is_onward = True
+        call.workspace = parent.workspace
+        call.order = parent.order
+        call.priority = parent.priority
+        return await self._send_onward(call, route, deadline, parent)
+
+    async def _send_onward(
+        self,
+        call: messages.Call,
+        route: messages.Route,
+        deadline: float,
+        parent: context.Running,
+    ) -> messages.Answer:
+        parent.begin_onward(clock.now())
+        is_served = False
+        try:
+            answer = await self._send(
+                call, route, min(deadline, parent.deadline)
+            )
+            is_served = answer.status < _FIRST_SERVER_ERROR
+        finally:
+            parent.end_onward(clock.now())
+            parent.has_given_up |= not is_served
+        return answer
+
+    async def _send(
+        self, call: messages.Call, route: messages.Route, deadline: float
+    ) -> messages.Answer:
         return await self.sender.send(
             call, route, max(1, route.attempts), deadline, self._is_admitted
         )
@@ -134,9 +171,6 @@
         name = messages.WorkspaceName(workspace.name if workspace else '')
         longest_ms = route.timeout_ms or self.options.default_deadline_ms
         left_ms = min(longest_ms, self._deadline_ms(request, longest_ms))
-        priority = route.priority
-        if workspace is not None and workspace.rank >= 0:
-            priority = priority_of_rank(workspace.rank)
         call = messages.Call(
             service=self.view.hosts.choose(route, self.random.random()),
             method=request.method,
@@ -146,7 +180,8 @@
             workspace=name,
             key_id=key.key_id if key else messages.KeyId(''),
             route_name=route.name,
-            priority=priority,
+            priority=route.priority,
+            order=max(workspace.rank, 0) if workspace else 0,
             deadline_ms=left_ms,
             is_idempotent=route.is_idempotent,
             fingerprint=digests.of_parts(
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -43,6 +43,7 @@
             self.view,
             self.session,
             self.allowance,
+            self.contexts,
             self.relay,
         )
         self.listener = http_listener.Listener(
--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -39,6 +39,14 @@
 # Time for outcomes on their way to control at a planned stop, seconds.
 _RECORD_WAIT_S = 5.0
 
+# Meshes with names of their own count each send to an upstream.
+_MESH_RETRIES = relay.RetryPolicy(
+    counts_sends=True,
+    retries_failures=True,
+    low_share=0.5,
+    max_refusals=2,
+)
+
 
 class Parts:
     """What every node is made of."""
@@ -89,6 +97,7 @@
             picker_module.Picker(self.view, options.zone, random.Random()),
             self.forwarder,
             self.owner,
+            _MESH_RETRIES if names is not None else None,
         )
         self.peers = peer_server.PeerServer(identity, self.owner)
         self.tasks: list[asyncio.Task[None]] = []
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import typing
 
 from godwitstall import clock
@@ -53,6 +54,35 @@
 )
 
 
+# Answers that tell of a fault of the upstream.
+_FAILED_KINDS = frozenset(
+    (
+        errors.ErrorKind.UPSTREAM_SHED,
+        errors.ErrorKind.UPSTREAM_LOST,
+        errors.ErrorKind.ANSWER_CUT,
+    )
+)
+
+# Statuses with which an upstream says that it failed itself.
+_FAILED_STATUSES = frozenset((500, 502, 503))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryPolicy:
+    """What a mesh lets be sent again."""
+
+    # Each send to an upstream uses an attempt, also one that was not run.
+    counts_sends: bool = False
+    # An idempotent call goes to another upstream when one failed it, and not
+    # a service further down.
+    retries_failures: bool = False
+    # Part of the retry budget that calls below the highest priority may use.
+    # The rest is for those that matter most.
+    low_share: float = 1.0
+    # Owners that may refuse a call before it is given up; 0 means all.
+    max_refusals: int = 0
+
+
 class Relay:
     """Sends calls to owners, the own node's owner side included."""
 
@@ -62,7 +92,9 @@
         picker: picker_module.Picker,
         forwarder: forward.Forwarder,
         owner: dispatch.Owner,
+        policy: RetryPolicy | None = None,
     ) -> None:
+        self.policy = policy or RetryPolicy()
         self.options = options
         self.picker = picker
         self.forwarder = forwarder
@@ -95,6 +127,7 @@
         budget = self._budget(call.service)
         budget.on_call(clock.now())
         left = attempts
+        refusals = 0
         excluded: set[messages.NodeId] = set()
         answer: messages.Answer | None = None
         while True:
@@ -102,17 +135,26 @@
             if member is None:
                 break
             call.attempts = min(max(1, route.dispatch_attempts), left)
+            former = answer
             answer = await self._send_once(member, call, deadline)
-            left -= min(left, answer.attempts_used)
+            if former is not None and _is_worse(answer, former):
+                answer = former
+                break
+            is_sent = answer.kind not in _UNSENT_KINDS
+            refusals += not is_sent
+            if is_sent and self.policy.counts_sends:
+                left -= 1
+            else:
+                left -= min(left, answer.attempts_used)
             excluded.add(member.node_id)
             now = clock.now()
-            if not is_retry_safe(answer, call) or left < 1 or now >= deadline:
+            if not self._may_retry(answer, call) or left < 1:
+                break
+            if now >= deadline or refusals == self.policy.max_refusals > 0:
                 break
             if not is_admitted(call):
                 break
-            if answer.kind not in _UNSENT_KINDS and not (
-                budget.try_retry(now)
-            ):
+            if is_sent and not budget.try_retry(now, self._budget_part(call)):
                 _NO_RETRY.inc(service=call.service)
                 break
             _RETRIED.inc(service=call.service)
@@ -121,6 +163,22 @@
         answer.attempts_used = attempts - left
         return answer
 
+    def _may_retry(self, answer: messages.Answer, call: messages.Call) -> bool:
+        if is_retry_safe(answer, call):
+            return True
+        return (
+            self.policy.retries_failures
+            and call.is_idempotent
+            and answer.kind is errors.ErrorKind.NONE
+            and answer.status in _FAILED_STATUSES
+            and not answer.is_final
+        )
+
+    def _budget_part(self, call: messages.Call) -> float:
+        if call.priority is messages.Priority.PAYMENT:
+            return 1.0
+        return self.policy.low_share
+
     async def _send_naively(
         self,
         call: messages.Call,
@@ -189,6 +247,13 @@
         self.picker.on_answer(
             member.node_id, load, answer.kind in _DOWN_KINDS, clock.now()
         )
+        if answer.kind not in _UNSENT_KINDS and not answer.is_final:
+            self.picker.on_outcome(
+                member.node_id,
+                answer.kind in _FAILED_KINDS
+                or answer.status in _FAILED_STATUSES,
+                clock.now(),
+            )
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the dump."""
@@ -198,6 +263,14 @@
         }
 
 
+def _is_worse(answer: messages.Answer, former: messages.Answer) -> bool:
+    """Return whether the answer of an upstream must not give way to this."""
+    return (
+        former.kind is errors.ErrorKind.NONE
+        and answer.kind is not errors.ErrorKind.NONE
+    )
+
+
 def is_retry_safe(answer: messages.Answer, call: messages.Call) -> bool:
     """Return whether a call may be sent again after this answer."""
     rule = errors.ANSWERS[answer.kind]
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -104,6 +104,7 @@
     def capacity(self, now: float) -> int:
         """Return how many requests may run at once now."""
         share = self.warmup.share(now)
+        share *= self.options.slot_share
         return max(1, int(self.limit.limit * share))
 
     def on_announcement(
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -17,6 +17,13 @@
 # Load by which the own zone may exceed the best elsewhere, share of a limit.
 ZONE_MARGIN = 0.25
 
+# Weight of one call in the moving average of failed calls.
+_FAILURE_WEIGHT = 0.04
+
+# Time after which half of the failures count, seconds. A member that gets no
+# calls could not prove otherwise that it works again.
+_FAILURE_HALF_LIFE_S = 3.0
+
 # Age at which a load report counts for nothing, seconds. Without an end, a
 # member that reported a high load once would never be asked again.
 REPORT_LIFETIME_S = 2.0
@@ -44,6 +51,10 @@
     failures: int = 0
     # Until when the member is avoided, seconds.
     avoided_until: float = float('-inf')
+    # Moving average of the calls that its upstream failed, 0 to 1.
+    failed_share: float = 0.0
+    # Time of the last of them, seconds.
+    failed_at: float = 0.0
 
 
 class Picker:
@@ -117,6 +128,19 @@
                 FIRST_AVOID_S * 2.0 ** min(known.failures - 1, 10), MAX_AVOID_S
             )
 
+    def on_outcome(
+        self, node_id: messages.NodeId, is_failed: bool, now: float
+    ) -> None:
+        """Count what the upstream of a member made of a call.
+
+        An upstream can fail part of its calls while its health answers say
+        that all is well; only the calls tell.
+        """
+        known = self._load(node_id)
+        share = _failed_share(known, now)
+        known.failed_share = share + _FAILURE_WEIGHT * (is_failed - share)
+        known.failed_at = now
+
     def score(self, member: messages.Member, now: float) -> float:
         """Return the load of a member as a share of its limit."""
         known = self._loads.get(member.node_id)
@@ -124,9 +148,11 @@
             return 0.0
         age = now - known.reported_at
         if age >= REPORT_LIFETIME_S:
-            return known.outstanding / known.limit
-        weight = 1 - max(age, 0) / REPORT_LIFETIME_S
-        return (known.outstanding + known.reported * weight) / known.limit
+            load = known.outstanding / known.limit
+        else:
+            weight = 1 - max(age, 0) / REPORT_LIFETIME_S
+            load = (known.outstanding + known.reported * weight) / known.limit
+        return load + _failed_share(known, now)
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each member, for /state."""
@@ -235,3 +261,12 @@
         for node_id in [n for n in self._loads if n not in members]:
             if not self._loads[node_id].outstanding:
                 del self._loads[node_id]
+
+
+def _failed_share(known: _Load, now: float) -> float:
+    if not known.failed_share:
+        return 0.0
+    age = max(now - known.failed_at, 0.0)
+    share = float(known.failed_share * 0.5 ** (age / _FAILURE_HALF_LIFE_S))
+    # Less than one late failure must not decide between two idle members.
+    return share if share > _FAILURE_WEIGHT / 2 else 0.0
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -106,6 +106,9 @@
     max_queue_wait_ms: int = 500
     # How the concurrency limit is found: gradient, aimd or fixed.
     limit_policy: LimitPolicy = LimitPolicy.GRADIENT
+    # Share of the limit that is used. An upstream that slows down when it is
+    # nearly full serves more below that.
+    slot_share: float = 1.0
     # Time over which a new upstream gets its full share of work, seconds.
     warmup_s: float = 10.0
     # Retries allowed for each call of a service, 0 to 1.
@@ -204,6 +207,7 @@
     'max_queue': (1, 1_000_000),
     'max_queue_wait_ms': (1, 600_000),
     'warmup_s': (0, 3600),
+    'slot_share': (0.1, 1),
     'retry_ratio': (0, 1),
     'retry_min_per_s': (0, 10_000),
     'announce_timeout_s': (0.1, 5.0),
