Write structured lines about decisions, and stop in time without control

Cause: on call there was nothing to follow a request by.

Ruled out: a thread that writes (a slow reader still fills its queue), and the logging module's stream handler, which waits for a full pipe.

A stop leaves the members beside its settle time.

--- a/godwitstall/logs.py
+++ b/godwitstall/logs.py
@@ -6,6 +6,9 @@
 
 import logging
 import sys
+import typing
+
+from godwitstall import decisions
 
 _ROOT = 'godwitstall'
 _FORMAT = '%(asctime)s %(levelname)s [%(part)s] %(message)s'
@@ -24,6 +27,31 @@
     return logging.getLogger(f'{_ROOT}.{part}')
 
 
+class _DecisionHandler(logging.Handler):
+    """Writes the records of all parts as structured lines."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields: dict[str, typing.Any] = {
+            'level': record.levelname,
+            'text': record.getMessage(),
+        }
+        if record.exc_info is not None:
+            fields['error'] = logging.Formatter().formatException(
+                record.exc_info
+            )
+        part = record.name.rpartition('.')[2]
+        decisions.write(part, 'message', **fields)
+
+
+def setup_structured(
+    level: str, part_levels: dict[str, str], **common: typing.Any
+) -> None:
+    """Send structured lines to standard output; common is in each line."""
+    decisions.open_output(sys.stdout.fileno(), **common)
+    setup(level, part_levels)
+    logging.getLogger(_ROOT).handlers = [_DecisionHandler()]
+
+
 def setup(level: str, part_levels: dict[str, str]) -> None:
     """Send logs to standard error at the levels given in the settings.
 
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -13,6 +13,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import errors
 from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
@@ -359,6 +360,23 @@
             )
             self.throttle.on_end(call.route_name, is_well, ended)
         self._learn(outcome, entry, ended)
+        if outcome.kind is not errors.ErrorKind.NONE:
+            decisions.write(
+                'dispatch',
+                'run_failed',
+                request=call.request_id.decode('latin-1'),
+                service=call.service,
+                instance=self.upstream.instance_id,
+                announced_ago_ms=round(
+                    (ended - self.upstream.announced_at) * 1000
+                ),
+                kind=outcome.kind.label,
+                detail=outcome.detail,
+                took_ms=round((ended - now) * 1000),
+                running=self.running,
+                queued=len(self.queue),
+                onward_failed=entry.has_given_up,
+            )
         if outcome.is_refused:
             self.upstream.mark_dead(incarnation)
         if outcome.kind in _LOST_KINDS:
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -12,6 +12,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import errors
 from godwitstall import http_listener
 from godwitstall import logs
@@ -28,7 +29,8 @@
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
-_LOG = logs.get('gateway')
+_PART = 'gateway'
+_LOG = logs.get(_PART)
 _REQUESTS = metrics.counter(
     'gateway_requests_total', 'Requests by route and error kind.'
 )
@@ -84,8 +86,39 @@
         except errors.RequestError as e:
             answer = dispatch.refusal(e)
         _REQUESTS.inc(route=route_name, kind=answer.kind.label)
+        self._tell(request, route_name, answer)
         return self._response(answer)
 
+    def _tell(
+        self,
+        request: http_listener.Request,
+        route_name: str,
+        answer: messages.Answer,
+    ) -> None:
+        """Log what became of a request, and with what knowledge."""
+        is_routine = answer.kind is errors.ErrorKind.NONE and (
+            answer.status < _FIRST_SERVER_ERROR
+        )
+        write = decisions.write_routine if is_routine else decisions.write
+        now = clock.now()
+        write(
+            _PART,
+            'served' if answer.kind is errors.ErrorKind.NONE else 'refused',
+            request=request.header(self.names.attempt_id).decode('latin-1'),
+            route=route_name,
+            status=self.names.status_of(answer.kind)
+            if answer.kind is not errors.ErrorKind.NONE
+            else answer.status,
+            kind=answer.kind.label,
+            outcome=answer.outcome.label,
+            detail=answer.detail,
+            retry_after_ms=answer.retry_after_ms,
+            took_ms=round((now - request.received_at) * 1000),
+            configuration=self.view.number,
+            state_index=self.view.index,
+            lease_left_ms=round((self.session.lease_until - now) * 1000),
+        )
+
     def _match(self, request: http_listener.Request) -> messages.Route:
         if self.view.index < 0 or not self.view.number:
             raise errors.RequestError(
--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -136,11 +136,19 @@
             self.stop_wanted.set()
 
     async def settle(self) -> None:
-        """Leave the members and wait until other nodes have noticed."""
+        """Leave the members and wait until other nodes have noticed.
+
+        Without control the leave has no end, and the stop goes on without it.
+        """
+        leave = asyncio.create_task(self.membership.leave())
+        if self.options.stop_settle_s:
+            await asyncio.sleep(self.options.stop_settle_s)
+            leave.cancel()
+            await asyncio.gather(leave, return_exceptions=True)
+            return
         started = clock.now()
-        await self.membership.leave()
-        settle_s = self.options.stop_settle_s or self.options.lease_s
-        left_s = started + settle_s - clock.now()
+        await leave
+        left_s = started + self.options.lease_s - clock.now()
         await asyncio.sleep(max(0.0, left_s))
 
     async def stop_parts(self) -> None:
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -12,6 +12,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import errors
 from godwitstall.limits import retry_budget
 from godwitstall import messages
@@ -146,6 +147,7 @@
                 left -= 1
             else:
                 left -= min(left, answer.attempts_used)
+            self._tell_try(call, member, answer)
             excluded.add(member.node_id)
             now = clock.now()
             if not self._may_retry(answer, call) or left < 1:
@@ -163,6 +165,33 @@
         answer.attempts_used = attempts - left
         return answer
 
+    def _tell_try(
+        self,
+        call: messages.Call,
+        member: messages.Member,
+        answer: messages.Answer,
+    ) -> None:
+        """Log a try that did not end as it should."""
+        if answer.kind is errors.ErrorKind.NONE and (
+            answer.status not in _FAILED_STATUSES
+        ):
+            return
+        decisions.write(
+            'relay',
+            'try_failed',
+            request=call.request_id.decode('latin-1'),
+            service=call.service,
+            owner=member.node_id,
+            kind=answer.kind.label,
+            status=answer.status,
+            outcome=answer.outcome.label,
+            is_final=answer.is_final,
+            owner_queued=answer.load.queued,
+            owner_running=answer.load.in_flight,
+            owner_limit=answer.load.limit,
+            deadline_ms=call.deadline_ms,
+        )
+
     def _may_retry(self, answer: messages.Answer, call: messages.Call) -> bool:
         if is_retry_safe(answer, call):
             return True
