Tell the story of a request from the logs of many processes

Cause: the lines about one request stand in the files of several processes, under its own id and under those of its onward calls.

Ruled out: a collector of our own; the files are read where they are.

--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -15,6 +15,7 @@
 
 from godwitstall.configuration import note as notes
 from godwitstall.ctl import client as client_module
+from godwitstall.ctl import story
 from godwitstall import errors
 from godwitstall import messages
 from godwitstall import settings
@@ -450,6 +451,28 @@
     )
 
 
+async def tell_story(
+    client: client_module.ControlClient, request_id: str, folder: str
+) -> Result:
+    """Print what the logs in a folder tell of one request."""
+    del client
+    paths = sorted(path for path in pathlib.Path(folder).glob('*.log'))
+    if not paths:
+        raise CommandError(f'FOLDER {folder!r} has no files *.log')
+    try:
+        rows = story.find(story.read_lines(paths), request_id)
+    except OSError as e:
+        raise CommandError(f'{e.filename} cannot be read: {e.strerror}') from e
+    if not rows:
+        return Result(
+            f'No line of {len(paths)} files is about {request_id}.',
+            is_success=False,
+        )
+    return Result(
+        f'{len(rows)} lines about {request_id}.', rows, story.COLUMNS
+    )
+
+
 async def dump_state(
     client: client_module.ControlClient, address: str
 ) -> Result:
--- a/godwitstall/ctl/program.py
+++ b/godwitstall/ctl/program.py
@@ -112,6 +112,12 @@
         'Make a key and the digest for a release note.',
         commands.make_key,
     ),
+    Command(
+        ('story',),
+        ('REQUEST', 'FOLDER'),
+        'Tell what the logs FOLDER/*.log hold about a request.',
+        commands.tell_story,
+    ),
     Command(
         ('state',),
         ('ADDRESS',),
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -20,7 +20,7 @@
 
 _ROOT = pages.PAGE.parent.parent
 _INTERFACE = pages.PAGE.read_text()
-_OPERATIONS = (_ROOT / 'docs' / 'operations.md').read_text()
+_OPERATIONS = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
 
 # Options classes by the table that a sample on the page has.
 _KINDS = {
@@ -122,7 +122,7 @@
         'README.md',
         'docs/design.md',
         'docs/interface.md',
-        'docs/operations.md',
+        'docs/OPERATIONS.md',
         'docs/glossary.md',
     ],
 )
