--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -614,12 +614,7 @@
         if self.applied_index < self.commit_index and self.failure is None:
             self._is_applying = True
             asyncio.get_running_loop().call_soon(self._apply_some)
-        if (
-            self._is_snapshot_due()
-            and not self._snapshot_lock.locked()
-            and self._tasks
-        ):
-            self._spawn(self._take_snapshot())
+        self._start_snapshot()
 
     def _apply(self, entry: messages.Entry) -> bytes:
         if not entry.command:
@@ -679,6 +674,17 @@
             self._snapshot_bytes = size
             self._applied_bytes -= covered_bytes
             _LOG.info('Took a snapshot of %d bytes at entry %d.', size, index)
+        # The log may have grown enough meanwhile, and the next command may
+        # not come for long.
+        self._start_snapshot()
+
+    def _start_snapshot(self) -> None:
+        if (
+            self._is_snapshot_due()
+            and not self._snapshot_lock.locked()
+            and self._tasks
+        ):
+            self._spawn(self._take_snapshot())
 
     def _is_snapshot_due(self) -> bool:
         since = self.applied_index - self.log.snapshot_index
