Split the changes of voters from the replica

Ruled out: a base class; the changes need little of the replica.

Change: consensus/voter_changes.py holds them; three attributes of the replica are public for it. No behaviour changes.

--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -25,6 +25,7 @@
 from godwitstall.consensus import peer as peers
 from godwitstall.consensus import snapshots
 from godwitstall.consensus import storage
+from godwitstall.consensus import voter_changes
 from godwitstall.consensus import voters
 from godwitstall import errors
 from godwitstall import link as links
@@ -42,14 +43,6 @@
 # its commands are, and the log in memory stays small beside the state.
 _LOG_SHARE = 8
 
-# Voters of a fleet whose replicas are found through seeds: two of five may be
-# lost at once.
-_MAX_FOUND_VOTERS = 5
-
-# A voter that answers nothing for this long gives its vote to a spare,
-# seconds.
-_LOST_VOTER_S = 2.0
-
 # A larger command could make an append request that no peer reads, and
 # replication would stop at it.
 MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
@@ -108,6 +101,7 @@
         self.log = logmodule.Log(storage.LogFiles(self.folder))
         self.log.on_durable = self.on_ack
         self.voters = voters.VoterHistory()
+        self.changes = voter_changes.VoterChanges(self)
         self.election = election.Election(self)
         self.follower = follower.Follower(self)
         self.peers: dict[messages.SlotId, peers.Peer] = {}
@@ -119,10 +113,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_started = False
         # Index of the leader's first entry, and when it took the lead.
-        self._term_start = 0
-        self._lead_since = 0.0
+        self.term_start = 0
+        self.lead_since = 0.0
         # A leader that hands over takes no proposals and has no lease.
-        self._is_handing_over = False
+        self.is_handing_over = False
         self._is_role_told = False
         self._is_applying = False
         # Held while a snapshot is written or installed.
@@ -266,7 +260,7 @@
     async def stop(self) -> None:
         """Hand leadership over when leading, then end all tasks."""
         if self.is_leader and len(self.voters.current) > 1:
-            self._is_handing_over = True
+            self.is_handing_over = True
             with contextlib.suppress(TimeoutError, errors.GodwitstallError):
                 async with asyncio.timeout(self.options.election_max_s):
                     await self._hand_over()
@@ -320,12 +314,12 @@
                 if now >= self.election.deadline:
                     await self.election.stand()
                 continue
-            confirmed = max(self._confirmed_at(), self._lead_since)
+            confirmed = max(self._confirmed_at(), self.lead_since)
             if now - confirmed > self.options.election_max_s:
                 _LOG.warning('Steps down: no majority answers.')
                 self._step_down()
             else:
-                self._change_voters()
+                self.changes.step()
 
     # Terms and roles
 
@@ -384,12 +378,12 @@
             self._create_fleet(grants)
         self.role = Role.LEADER
         self.leader_slot = self.slot
-        self._is_handing_over = False
-        self._lead_since = clock.now()
-        self._term_start = self.log.last_index + 1
+        self.is_handing_over = False
+        self.lead_since = clock.now()
+        self.term_start = self.log.last_index + 1
         for peer in self.peers.values():
-            peer.reset(self._term_start)
-        self._append(b'')
+            peer.reset(self.term_start)
+        self.append(b'')
 
     def _create_fleet(
         self, grants: dict[messages.SlotId, messages.DiskId]
@@ -445,16 +439,16 @@
         """
         if len(command) > MAX_COMMAND_BYTES:
             raise errors.ControlError(errors.ErrorKind.BODY_TOO_LARGE)
-        if not self.is_leader or self._is_handing_over:
+        if not self.is_leader or self.is_handing_over:
             raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
         change = voters.parse_change(command)
         if change is not None:
-            refusal = self._refusal(change)
+            refusal = self.changes.refusal(change)
             if refusal:
                 return 0, messages.encode(
                     messages.CommandResult(False, refusal)
                 )
-        index = self._append(command)
+        index = self.append(command)
         future: _Proposal = asyncio.get_running_loop().create_future()
         self._proposals[index] = future
         try:
@@ -469,7 +463,8 @@
             if self._proposals.get(index) is future:
                 del self._proposals[index]
 
-    def _append(self, command: bytes) -> int:
+    def append(self, command: bytes) -> int:
+        """Put a command into the log of this leader and return its index."""
         entry = messages.Entry(
             self.log.last_index + 1,
             self.term,
@@ -501,90 +496,12 @@
             index = stored[voters.quorum(stored) - 1]
             # An entry of an earlier term on a majority can still be cut
             # until one of this term is on a majority as well.
-            if index >= self._term_start and index > self.commit_index:
+            if index >= self.term_start and index > self.commit_index:
                 self.advance_commit(index)
                 self._wake_peers()
-            self._change_voters()
+            self.changes.step()
         self._wake_ack_waiters()
 
-    # Voters
-
-    def _refusal(self, change: voters.Change) -> str:
-        """Return why a voter change must not be logged, '' when it may.
-
-        Two majorities that differ by one voter share a replica. That holds
-        only for one change at a time, and only after an entry of this term
-        is committed.
-        """
-        if self.commit_index < self._term_start:
-            return 'The leader has not committed an entry of its term.'
-        if self.voters.current_index > self.commit_index:
-            return 'Another change of voters is not committed yet.'
-        current = self.voters.current
-        match change:
-            case messages.RemoveVoter(slot, disk_id):
-                if not self.is_voter(slot, disk_id):
-                    return 'The disk has no vote.'
-                if slot == self.slot:
-                    return 'The leader does not remove itself.'
-            case messages.AddVoter(voter):
-                peer = self.peers.get(voter.slot)
-                if voter.slot in current:
-                    return 'The slot has a voter; remove that first.'
-                if peer is None or peer.disk_id != voter.disk_id:
-                    return 'No such disk answers.'
-                if not peer.is_caught_up:
-                    return 'The disk has not caught up.'
-        return ''
-
-    def _change_voters(self) -> None:
-        """Give a caught-up learner the vote of its slot, in two changes."""
-        if self._is_handing_over:
-            return
-        for peer in self.peers.values():
-            is_alive = (
-                clock.now() - peer.acked_at < self.options.election_min_s
-            )
-            if (
-                not peer.is_caught_up
-                or not is_alive
-                or self.is_voter(peer.slot, peer.disk_id)
-            ):
-                continue
-            former = self.voters.current.get(peer.slot)
-            if former is None and len(self.voters.current) >= self._max_voters:
-                former = self._lost_voter()
-                if former is None:
-                    continue
-            change: voters.Change
-            if former is not None:
-                change = messages.RemoveVoter(former.slot, former.disk_id)
-            else:
-                change = messages.AddVoter(
-                    messages.Voter(peer.slot, peer.disk_id, peer.address)
-                )
-            if not self._refusal(change):
-                _LOG.info('Changes the voters: %s.', change)
-                self._append(messages.encode(change))
-                return
-
-    @property
-    def _max_voters(self) -> int:
-        """Voters that a fleet has; more replicas than that are spares."""
-        return len(self.fleet.control) or _MAX_FOUND_VOTERS
-
-    def _lost_voter(self) -> messages.Voter | None:
-        """Return a voter that does not answer, so that a spare replaces it."""
-        if clock.now() - self._lead_since < _LOST_VOTER_S:
-            return None
-        for voter in self.voters.current.values():
-            peer = self.peers.get(voter.slot)
-            if voter.slot == self.slot:
-                continue
-            if peer is None or clock.now() - peer.acked_at > _LOST_VOTER_S:
-                return voter
-        return None
-
     # Commit and apply
 
     def advance_commit(self, index: int) -> None:
@@ -609,7 +526,7 @@
             self._fail(e)
             return
         self._wake_appliers()
-        if self.is_leader and self.applied_index >= self._term_start:
+        if self.is_leader and self.applied_index >= self.term_start:
             self._tell_role(True)
         if self.applied_index < self.commit_index and self.failure is None:
             self._is_applying = True
@@ -728,8 +645,8 @@
         """Return whether no other replica can lead now."""
         return (
             self.is_leader
-            and not self._is_handing_over
-            and self.commit_index >= self._term_start
+            and not self.is_handing_over
+            and self.commit_index >= self.term_start
             and clock.now()
             < self._confirmed_at() + self.options.leader_lease_s
         )
@@ -747,7 +664,7 @@
                     if not self.is_leader:
                         raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
                     if self.holds_lease() or (
-                        self.commit_index >= self._term_start
+                        self.commit_index >= self.term_start
                         and self._confirmed_at() >= began_at
                     ):
                         return self.commit_index
