Refuse calls for another service, and drop members whose address is taken

A machine came up at the address of one that was lost seconds before, with another service; the others still knew the former member there and sent it calls, and the owner side ran them at its upstream.

Ruled out: the weights (the service of the call was right), and the instance that a request expects (the owner sets its own).

Change: an owner refuses a call for another service, not run; a join removes former members at its address. Besides: links to nodes handle messages in the step in which they arrive, the event loop asks the kernel for events less often, answers keep their header block, the collector looks more seldom.

--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -20,6 +20,7 @@
 from godwitstall.control import machine as machine_module
 from godwitstall.control import service as service_module
 from godwitstall import errors
+from godwitstall import event_loop
 from godwitstall import http_server
 from godwitstall import link as link_module
 from godwitstall import logs
@@ -122,7 +123,7 @@
                 _INITIAL.value,
             )
             return
-        asyncio.run(run(options, fleet))
+        event_loop.run(run(options, fleet))
     except (errors.StorageError, OSError) as e:
         print(f'{_PROGRAM}: {e}', file=sys.stderr)
         sys.exit(1)
--- /dev/null
+++ b/godwitstall/event_loop.py
@@ -0,0 +1,49 @@
+"""The event loop of the programs.
+
+The standard loop asks the kernel for events before each round of callbacks,
+also when callbacks wait to be run. A request takes several rounds in each
+process, so most of these questions find nothing. This loop asks when it is
+idle, and otherwise after some rounds only.
+
+Example: event_loop.run(main())
+"""
+
+import asyncio
+import collections.abc
+import selectors
+import typing
+
+# Rounds of callbacks between two questions while callbacks wait. Events that
+# come meanwhile wait for that many rounds at most.
+_MAX_ROUNDS = 4
+
+_Events = list[tuple[selectors.SelectorKey, int]]
+
+
+class SparingSelector(selectors.EpollSelector):
+    """A selector that passes over most questions that may not wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        # Questions passed over since the last one that was asked.
+        self.passed_over = 0
+
+    def select(self, timeout: float | None = None) -> _Events:
+        """Return events, or none without asking when timeout is 0."""
+        if timeout is not None and timeout <= 0:
+            self.passed_over += 1
+            if self.passed_over < _MAX_ROUNDS:
+                return []
+        self.passed_over = 0
+        return super().select(timeout)
+
+
+def new_loop() -> asyncio.AbstractEventLoop:
+    """Return an event loop with a SparingSelector."""
+    return asyncio.SelectorEventLoop(SparingSelector())
+
+
+def run(main: collections.abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+    """Run a program to its end, as asyncio.run() does."""
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(main)
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -98,6 +98,8 @@
     body: bytes = b''
     # The connection ends after this answer.
     closes: bool = False
+    # Further headers as they go out, each line with its end.
+    block: bytes = b''
 
 
 Handler = collections.abc.Callable[
@@ -334,6 +336,7 @@
     parts += [
         b'%s: %s\r\n' % (name, value) for name, value in response.headers
     ]
+    parts.append(response.block)
     if status not in _BODILESS:
         parts.append(b'content-length: %d\r\n' % len(response.body))
     if exchange.closes:
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -65,6 +65,7 @@
 Handler = collections.abc.Callable[
     [messages.Message], collections.abc.Awaitable[None]
 ]
+DirectHandler = collections.abc.Callable[[messages.Message], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -236,6 +237,44 @@
         finally:
             self.close()
 
+    async def run_direct(self, handler: DirectHandler) -> None:
+        """Read until the link ends, with a handler that never waits.
+
+        Messages are handled in the step of the event loop in which they
+        arrive. The task of run() would take one more step for each, which is
+        much on the request path.
+        """
+        transport = typing.cast(asyncio.Transport, self.writer.transport)
+        protocol = _DirectProtocol(self, handler)
+        transport.set_protocol(protocol)
+        # What came before is in the reader and nowhere else.
+        self.reader.feed_eof()
+        protocol.data_received(await self.reader.read())
+        if not transport.is_closing() and not transport.is_reading():
+            transport.resume_reading()
+        try:
+            if not self.is_closed:
+                await protocol.ended
+        finally:
+            self.close()
+
+    def take(self, data: bytes, handler: DirectHandler) -> None:
+        """Handle the messages that data completes.
+
+        Errors: LinkError of kind BAD_MESSAGE for garbage.
+        """
+        self.bytes_received += len(data)
+        self._buffer += data
+        self._split_frames()
+        ready, self._ready = self._ready, []
+        for message in ready:
+            if isinstance(message, _REPLIES):
+                future = self.pending.get(message.seq)
+                if future is not None and not future.done():
+                    future.set_result(message)
+            else:
+                handler(message)
+
     def abort(self) -> None:
         """Close without waiting for the peer to read what is unsent."""
         self.writer.transport.abort()
@@ -255,6 +294,32 @@
                 )
 
 
+class _DirectProtocol(asyncio.Protocol):
+    """Hands the bytes of a link on as they come."""
+
+    def __init__(self, link: Link, handler: DirectHandler) -> None:
+        self.link = link
+        self.handler = handler
+        # Ends with the connection.
+        self.ended: asyncio.Future[None]
+        self.ended = asyncio.get_running_loop().create_future()
+
+    def data_received(self, data: bytes) -> None:
+        if self.link.is_closed:
+            return
+        try:
+            self.link.take(data, self.handler)
+        except errors.LinkError as e:
+            _GARBAGE.inc()
+            _LOG.warning('Garbage from %s: %s', self.link.peer_id, e)
+            self.link.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.link.close()
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Return host and port of 'host:port'.
 
--- a/godwitstall/members/registry.py
+++ b/godwitstall/members/registry.py
@@ -73,9 +73,25 @@
                 f'than {lowest}.'
             )
         self.gone.pop(node_id, None)
-        return self._put(
+        replaced = self._remove_at(joining.address, node_id)
+        result, changed = self._put(
             dataclasses.replace(joining, is_drained=node_id in self.drained)
         )
+        return result, replaced + changed
+
+    def _remove_at(
+        self, address: str, node_id: messages.NodeId
+    ) -> list[messages.NodeId]:
+        """Remove former members at the address of a node that joins."""
+        replaced = [
+            member.node_id
+            for member in self.members.values()
+            if member.address == address != '' and member.node_id != node_id
+        ]
+        for former in replaced:
+            self._remember(former, self.members[former].incarnation + 1)
+            del self.members[former]
+        return replaced
 
     def _set_upstream_state(
         self, command: messages.SetUpstreamState
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -159,6 +159,13 @@
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
         self._check_ready()
+        if call.service != self.options.service:
+            # The address belonged to a node of that service before.
+            raise errors.RequestError(
+                errors.ErrorKind.UPSTREAM_UNREACHABLE,
+                f'This node serves {self.options.service}, not '
+                f'{call.service}.',
+            )
         if self.options.is_pass_through:
             return await self._dispatch(call, deadline)
         if self.view.is_quarantined(call.fingerprint):
--- a/godwitstall/node/forward.py
+++ b/godwitstall/node/forward.py
@@ -66,7 +66,7 @@
         """Return whether the link can be used."""
         return self.link is not None and not self.link.is_closed
 
-    async def on_message(
+    def on_message(
         self, link: link_module.Link, message: messages.Message
     ) -> None:
         """Hand an answer to its call."""
@@ -108,7 +108,7 @@
         on the next link are not concerned.
         """
         try:
-            await link.run(functools.partial(self.on_message, link))
+            await link.run_direct(functools.partial(self.on_message, link))
         finally:
             for sent_over, future in self.waiting.values():
                 if sent_over is link and not future.done():
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -266,9 +266,7 @@
     def _response(self, answer: messages.Answer) -> http_listener.Response:
         if answer.kind is errors.ErrorKind.NONE:
             return http_listener.Response(
-                answer.status,
-                headers.from_block(answer.headers),
-                answer.body,
+                answer.status, [], answer.body, block=answer.headers
             )
         body = json.dumps(
             {
--- a/godwitstall/node/headers.py
+++ b/godwitstall/node/headers.py
@@ -5,6 +5,7 @@
 """
 
 import collections.abc
+import functools
 
 OPERATION = b'godwitstall-operation'
 DEADLINE_MS = b'godwitstall-deadline-ms'
@@ -42,9 +43,13 @@
     )
 )
 
+# Names of headers whose treatment is remembered; callers can send any.
+_KNOWN_NAMES = 1024
+
 Pairs = collections.abc.Iterable[tuple[bytes, bytes]]
 
 
+@functools.lru_cache(_KNOWN_NAMES)
 def is_relayed(name: bytes) -> bool:
     """Return whether a header of this lower-case name is passed on.
 
--- a/godwitstall/node/peer_server.py
+++ b/godwitstall/node/peer_server.py
@@ -26,13 +26,15 @@
         """Answer the calls that come over one link."""
         calls: dict[int, asyncio.Task[None]] = {}
         try:
-            await link.run(functools.partial(self._on_message, link, calls))
+            await link.run_direct(
+                functools.partial(self._on_message, link, calls)
+            )
         finally:
             # The entry node is gone and so are its callers.
             for task in calls.values():
                 task.cancel()
 
-    async def _on_message(
+    def _on_message(
         self,
         link: link_module.Link,
         calls: dict[int, asyncio.Task[None]],
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -15,6 +15,7 @@
 from godwitstall import admin
 from godwitstall import clock
 from godwitstall import command_line
+from godwitstall import event_loop
 from godwitstall import http_server
 from godwitstall import logs
 from godwitstall.node import entry
@@ -147,7 +148,7 @@
     )
     logs.setup(log_options.level, log_options.parts)
     try:
-        asyncio.run(run(options, fleet))
+        event_loop.run(run(options, fleet))
     except OSError as e:
         print(f'{_PROGRAM}: {e}', file=sys.stderr)
         sys.exit(1)
--- /dev/null
+++ b/tests/members/test_taken_address.py
@@ -0,0 +1,91 @@
+"""Addresses of nodes that are gone and belong to another service now."""
+
+import asyncio
+
+from godwitstall import errors
+from godwitstall.members import registry
+from godwitstall import messages
+from godwitstall.node import dialect
+from godwitstall.node import gateway_node
+from godwitstall import settings
+
+_NAMES = dialect.Dialect(
+    attempt_id=b'x-id',
+    deadline_ms=b'x-deadline',
+    key=b'x-key',
+    workspace=b'x-workspace',
+    caller_service=b'x-caller',
+    expected_instance=b'x-instance',
+    not_run=b'x-not-run',
+    signature=b'x-signature',
+    retry_after=b'retry-after',
+    statuses={},
+)
+
+
+def _member(node_id: str, service: str, address: str) -> messages.Member:
+    return messages.Member(
+        node_id=messages.NodeId(node_id),
+        incarnation=1,
+        service=messages.ServiceName(service),
+        address=address,
+    )
+
+
+def test_join_removes_the_former_member_at_its_address() -> None:
+    """Guards against calls that go to the successor of a dead node."""
+    held = registry.Registry()
+    held.apply(messages.Join(_member('old', 'siop', '10.0.0.1:7')))
+    held.apply(messages.Join(_member('other', 'siop', '10.0.0.2:7')))
+    _, changed = held.apply(
+        messages.Join(_member('new', 'gwydd', '10.0.0.1:7'))
+    )
+    assert set(held.members) == {'new', 'other'}
+    assert set(changed) == {'new', 'old'}
+
+
+def test_member_that_was_removed_so_may_join_elsewhere() -> None:
+    """Guards against a node that is kept out for ever."""
+    held = registry.Registry()
+    held.apply(messages.Join(_member('old', 'siop', '10.0.0.1:7')))
+    held.apply(messages.Join(_member('new', 'gwydd', '10.0.0.1:7')))
+    late, _ = held.apply(messages.Join(_member('old', 'siop', '10.0.0.1:7')))
+    assert not late.is_accepted
+    moved = _member('old', 'siop', '10.0.0.3:7')
+    moved.incarnation = 2
+    result, _ = held.apply(messages.Join(moved))
+    assert result.is_accepted
+
+
+def test_owner_refuses_calls_for_another_service() -> None:
+    """Guards against a request that runs at a service it was not sent to.
+
+    A sender may know the former node at an address for some seconds.
+    """
+    options = settings.NodeOptions(
+        node_id=messages.NodeId('n1'),
+        zone='z1',
+        region='r1',
+        link_address='127.0.0.1:1',
+        caller_address='127.0.0.1:2',
+        upstream_address='127.0.0.1:3',
+        admin_address='127.0.0.1:4',
+        service=messages.ServiceName('gwydd'),
+        serves_without_lease=True,
+    )
+    fleet = settings.FleetOptions(
+        'tests', seeds=['127.0.0.1:5'], is_without_secret=True
+    )
+
+    async def scenario() -> messages.Answer:
+        node = gateway_node.GatewayNode.from_config(options, fleet, _NAMES)
+        node.view.apply(messages.StateUpdate(1, True))
+        node.upstream.state = messages.UpstreamState.READY
+        node.upstream.client = object()  # type: ignore[assignment]
+        return await node.owner.handle(
+            messages.Call(service=messages.ServiceName('siop'), attempts=1)
+        )
+
+    answer = asyncio.run(scenario())
+    assert answer.kind is errors.ErrorKind.UPSTREAM_UNREACHABLE
+    assert answer.outcome is errors.Outcome.NOT_RUN
