Share the test nodes, and execute both configuration commands in one place

Cause: two tests built the same node, and the machine handled the two commands that change the configuration in two alike branches.

Ruled out: fixtures, since the nodes take arguments.

Change: tests/gateways.py; ConfigurationState.execute().

--- a/godwitstall/configuration/state.py
+++ b/godwitstall/configuration/state.py
@@ -24,6 +24,19 @@
         # Text of the last whole configuration; empty after a release note.
         self.document = b''
 
+    def execute(
+        self,
+        command: messages.ApplyNote | messages.ReplaceConfiguration,
+        index: int,
+        time_ms: int,
+    ) -> messages.NoteResult:
+        """Apply one of the two commands that change the configuration."""
+        match command:
+            case messages.ApplyNote():
+                return self.apply(command, index, time_ms)
+            case messages.ReplaceConfiguration():
+                return self.replace(command, index, time_ms)
+
     def replace(
         self, command: messages.ReplaceConfiguration, index: int, time_ms: int
     ) -> messages.NoteResult:
--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -126,18 +126,8 @@
                 return self.operations.complete(command, time_ms)
             case messages.Release():
                 return self.operations.release(command, time_ms)
-            case messages.ApplyNote():
-                note = self.configuration.apply(command, index, time_ms)
-                if note.verdict is messages.NoteVerdict.ACCEPTED:
-                    _log.info(
-                        'Release note %d of %r is in force.',
-                        note.number,
-                        note.operator,
-                    )
-                    self._note_change(_Change(index, _CONFIGURATION))
-                return note
-            case messages.ReplaceConfiguration():
-                note = self.configuration.replace(command, index, time_ms)
+            case messages.ApplyNote() | messages.ReplaceConfiguration():
+                note = self.configuration.execute(command, index, time_ms)
                 if note.verdict is messages.NoteVerdict.ACCEPTED:
                     _log.info(
                         'Configuration %d of %r is in force.',
--- /dev/null
+++ b/tests/gateways.py
@@ -0,0 +1,41 @@
+"""Gateway nodes for tests, not started and with addresses that nobody uses."""
+
+from godwitstall import messages
+from godwitstall.node import dialect
+from godwitstall.node import gateway_node
+from godwitstall import settings
+
+# A mesh that is no real one.
+NAMES = dialect.Dialect(
+    attempt_id=b'x-id',
+    deadline_ms=b'x-deadline',
+    key=b'x-key',
+    workspace=b'x-workspace',
+    caller_service=b'x-caller',
+    expected_instance=b'x-instance',
+    not_run=b'x-not-run',
+    signature=b'x-signature',
+    retry_after=b'retry-after',
+    statuses={},
+)
+
+
+def make_node(
+    service: str, names: dialect.Dialect = NAMES
+) -> gateway_node.GatewayNode:
+    """Return a node beside an upstream of a service."""
+    options = settings.NodeOptions(
+        node_id=messages.NodeId('n1'),
+        zone='z1',
+        region='r1',
+        link_address='127.0.0.1:1',
+        caller_address='127.0.0.1:2',
+        upstream_address='127.0.0.1:3',
+        admin_address='127.0.0.1:4',
+        service=messages.ServiceName(service),
+        serves_without_lease=True,
+    )
+    fleet = settings.FleetOptions(
+        'tests', seeds=['127.0.0.1:5'], is_without_secret=True
+    )
+    return gateway_node.GatewayNode.from_config(options, fleet, names)
