--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -236,6 +236,9 @@
         if size > limits.max_header_bytes:
             self.refuse(431)
             return
+        if sum(name == b'host' for name, _ in self.headers) > 1:
+            # Two readers could choose different ones.
+            self.refuse(400)
         for name, value in self.headers:
             if name == b'content-length' and (
                 len(value) > 15 or int(value) > limits.max_body_bytes
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -155,6 +155,12 @@
         self.link = link
         self.slot = link.peer_id
         _SESSIONS.inc(slot=self.slot)
+        _LOG.info(
+            'Session with %s at %s, state %d.',
+            self.slot,
+            address,
+            self.view.index,
+        )
         reader = asyncio.create_task(link.run(self._on_push))
         beats = asyncio.create_task(self._beat(link))
         grants = asyncio.create_task(self._ask_for_tokens(link))
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -183,6 +183,7 @@
             service=call.service,
             owner=member.node_id,
             kind=answer.kind.label,
+            detail=answer.detail,
             status=answer.status,
             outcome=answer.outcome.label,
             is_final=answer.is_final,
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -119,6 +119,7 @@
 
 _BAD = {
     'garbage': (b'\x00\x01\r\n\r\n', 400),
+    'two hosts': (b'GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n', 400),
     'two lengths': (
         b'POST / HTTP/1.1\r\ncontent-length: 1\r\ncontent-length: 2\r\n\r\nab',
         400,
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -91,6 +91,14 @@
     assert parsed.configuration.limits.idle_timeout_ms == 15_000
 
 
+def test_rate_without_burst_leaves_tokens_to_grant() -> None:
+    """Guards against a workspace that is refused within its rate."""
+    content = _content()
+    content['tenants']['shed']['ratePerS'] = 9
+    shed = _parse(content).configuration.workspaces[1]
+    assert (shed.rate, shed.burst) == (9, 5)
+
+
 def _set(*path: str, to: typing.Any) -> collections.abc.Callable[..., None]:
     def change(content: _Content) -> None:
         place = content
