--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -277,7 +277,7 @@
         self.picker.on_answer(
             member.node_id, load, answer.kind in _DOWN_KINDS, clock.now()
         )
-        if answer.kind not in _UNSENT_KINDS and not answer.is_final:
+        if tells_of_upstream(answer):
             self.picker.on_outcome(
                 member.node_id,
                 answer.kind in _FAILED_KINDS
@@ -293,6 +293,20 @@
         }
 
 
+def tells_of_upstream(answer: messages.Answer) -> bool:
+    """Return whether an answer says how well the owner's upstream works.
+
+    What the owner refused itself does not, nor does an answer that failed
+    further down.
+    """
+    if answer.is_final:
+        return False
+    return (
+        answer.outcome is not errors.Outcome.NOT_RUN
+        or answer.kind is errors.ErrorKind.UPSTREAM_SHED
+    )
+
+
 def _is_worse(answer: messages.Answer, former: messages.Answer) -> bool:
     """Return whether the answer of an upstream must not give way to this."""
     return (
--- a/tests/limits/test_retry_parts.py
+++ b/tests/limits/test_retry_parts.py
@@ -6,8 +6,12 @@
 
 import random
 
+import pytest
+
+from godwitstall import errors
 from godwitstall.limits import retry_budget
 from godwitstall import messages
+from godwitstall.node import relay
 from godwitstall.routing import picker
 from godwitstall.routing import view
 
@@ -71,3 +75,27 @@
         chosen.append(member.node_id)
         found.on_outcome(member.node_id, False, 30.0 + step / _CALLS)
     assert chosen.count(messages.NodeId('n0')) > 0.25 * _CALLS
+
+
+_ANSWERS = {
+    errors.ErrorKind.NONE: True,
+    errors.ErrorKind.UPSTREAM_SHED: True,
+    errors.ErrorKind.UPSTREAM_LOST: True,
+    errors.ErrorKind.CHAIN_OVERLOADED: False,
+    errors.ErrorKind.OVERLOADED: False,
+    errors.ErrorKind.DEADLINE_PASSED: False,
+}
+
+
+@pytest.mark.parametrize('kind', _ANSWERS)
+def test_refusals_of_the_owner_say_nothing_of_its_upstream(
+    kind: errors.ErrorKind,
+) -> None:
+    """Guards against calls that avoid an owner which holds chains back."""
+    rule = errors.ANSWERS[kind]
+    answer = messages.Answer(
+        kind=kind, outcome=rule.outcome, status=rule.status
+    )
+    assert relay.tells_of_upstream(answer) is _ANSWERS[kind]
+    answer.is_final = True
+    assert not relay.tells_of_upstream(answer)
