--- a/bench/limit_trial.py
+++ b/bench/limit_trial.py
@@ -34,7 +34,7 @@
 
 @dataclasses.dataclass
 class Scenario:
-    """One disturbance of the upstream."""
+    """One disruption of the upstream."""
 
     name: str
     # Load as a share of the capacity, at a time in seconds.
