Keep calls in their zone while the member there has room

A bound on the load alone would keep calls at a member that fails part of them and is never full; the bound counts only while it fails none.

Change: the own zone is left only above a load of 0.9 or while its member fails calls; above that the former margin decides.

--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -1,8 +1,9 @@
 """Choice of the owner node for a call (design, section 5, step 3).
 
-Power of two choices by load, with a preference for the own zone. The load of
-a member is what this node has outstanding there plus what its last answers
-reported, as a share of its concurrency limit.
+Power of two choices by load. Calls stay in the own zone until it is nearly
+full and another one has much more room. The load of a member is what this
+node has outstanding there plus what its last answers reported, as a share of
+its concurrency limit.
 
 Example: member = picker.pick('siop', excluded=set(), now=now)
 """
@@ -14,7 +15,12 @@
 from godwitstall import messages
 from godwitstall.routing import view as view_module
 
-# Load by which the own zone may exceed the best elsewhere, share of a limit.
+# Load up to which the own zone is not left, share of a limit. A member that is
+# not full runs a call at once, so that another zone serves it no sooner.
+ZONE_FULL = 0.9
+
+# Load by which the own zone may exceed the best elsewhere above that, share of
+# a limit.
 ZONE_MARGIN = 0.25
 
 # Weight of one call in the moving average of failed calls.
@@ -91,6 +97,8 @@
             if best is not None:
                 return best
             return self._last_resort(near + far, excluded)
+        if self._has_room(best_near, now):
+            return best_near
         margin = self.score(best_near, now) - self.score(best_far, now)
         return best_near if margin <= ZONE_MARGIN else best_far
 
@@ -142,17 +150,23 @@
         known.failed_at = now
 
     def score(self, member: messages.Member, now: float) -> float:
-        """Return the load of a member as a share of its limit."""
+        """Return the load of a member as a share of its limit.
+
+        The share of calls that its upstream fails comes on top.
+        """
         known = self._loads.get(member.node_id)
         if known is None:
             return 0.0
-        age = now - known.reported_at
-        if age >= REPORT_LIFETIME_S:
-            load = known.outstanding / known.limit
-        else:
-            weight = 1 - max(age, 0) / REPORT_LIFETIME_S
-            load = (known.outstanding + known.reported * weight) / known.limit
-        return load + _failed_share(known, now)
+        return _load_share(known, now) + _failed_share(known, now)
+
+    def _has_room(self, member: messages.Member, now: float) -> bool:
+        """Return whether a member works well and runs a call at once."""
+        known = self._loads.get(member.node_id)
+        if known is None:
+            return True
+        return _load_share(known, now) <= ZONE_FULL and not (
+            _failed_share(known, now)
+        )
 
     def dump(self) -> dict[str, typing.Any]:
         """Return what is known of each member, for /state."""
@@ -263,6 +277,14 @@
                 del self._loads[node_id]
 
 
+def _load_share(known: _Load, now: float) -> float:
+    age = now - known.reported_at
+    if age >= REPORT_LIFETIME_S:
+        return known.outstanding / known.limit
+    weight = 1 - max(age, 0) / REPORT_LIFETIME_S
+    return (known.outstanding + known.reported * weight) / known.limit
+
+
 def _failed_share(known: _Load, now: float) -> float:
     if not known.failed_share:
         return 0.0
