--- a/bench/claims.py
+++ b/bench/claims.py
@@ -18,6 +18,7 @@
 
 from bench import fleet as fleet_module
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as links
 from godwitstall import messages
@@ -95,9 +96,9 @@
             number += 1
             started = clock.now()
             try:
-                await self.propose(messages.encode(claim))
+                await self.propose(codec.encode(claim))
                 self.latencies.append(clock.now() - started)
-                await self.propose(messages.encode(complete))
+                await self.propose(codec.encode(complete))
             except errors.GodwitstallError:
                 self.failures += 1
                 await asyncio.sleep(0.05)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -23,6 +23,7 @@
 import httpx
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall import errors
 from godwitstall import http_server
@@ -373,10 +374,10 @@
     async def propose(self, command: messages.Message) -> messages.Message:
         """Have a command applied and return its result."""
         reply = await self.ask_control(
-            messages.Propose(command=messages.encode(command))
+            messages.Propose(command=codec.encode(command))
         )
         assert isinstance(reply, messages.ProposeReply)
-        return messages.decode(reply.result)
+        return codec.decode(reply.result)
 
     async def query(
         self, kind: messages.QueryKind, text: str = ''
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -18,6 +18,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.consensus import discovery
 from godwitstall.consensus import election
 from godwitstall.consensus import follower
@@ -45,7 +46,7 @@
 
 # A larger command could make an append request that no peer reads, and
 # replication would stop at it.
-MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES // 2
+MAX_COMMAND_BYTES = codec.MAX_FRAME_BYTES // 2
 
 format_disk = storage.format_disk
 
@@ -445,9 +446,7 @@
         if change is not None:
             refusal = self.changes.refusal(change)
             if refusal:
-                return 0, messages.encode(
-                    messages.CommandResult(False, refusal)
-                )
+                return 0, codec.encode(messages.CommandResult(False, refusal))
         index = self.append(command)
         future: _Proposal = asyncio.get_running_loop().create_future()
         self._proposals[index] = future
@@ -537,7 +536,7 @@
         if not entry.command:
             return b''
         if voters.parse_change(entry.command) is not None:
-            return messages.encode(messages.CommandResult(True))
+            return codec.encode(messages.CommandResult(True))
         return self.machine.apply(entry.index, entry.time_ms, entry.command)
 
     def _wake_appliers(self) -> None:
--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -27,6 +27,7 @@
 import typing
 import zlib
 
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import logs
 from godwitstall import messages
@@ -42,7 +43,7 @@
 
 # A length above this is taken for corruption; a frame of a link, which every
 # command came through, is smaller.
-_MAX_COMMAND_BYTES = messages.MAX_FRAME_BYTES
+_MAX_COMMAND_BYTES = codec.MAX_FRAME_BYTES
 
 # What an operator does about a corrupt disk, said in every error.
 REPLACE_TEXT = (
@@ -240,7 +241,7 @@
     The state follows the header as it is, because the codec bounds the size
     of one message.
     """
-    head = messages.encode(header)
+    head = codec.encode(header)
     body = len(head).to_bytes(4, 'big') + head + state
     return zlib.crc32(body).to_bytes(_CRC_BYTES, 'big') + body
 
@@ -257,7 +258,7 @@
         end = _SNAPSHOT.size + length
         view = memoryview(data)
         if crc == zlib.crc32(view[_CRC_BYTES:]):
-            header = messages.decode(bytes(view[_SNAPSHOT.size : end]))
+            header = codec.decode(bytes(view[_SNAPSHOT.size : end]))
             if isinstance(header, messages.SnapshotFile):
                 return header, view[end:]
     raise errors.StorageError(f'{name} is corrupt. {REPLACE_TEXT}')
@@ -283,7 +284,7 @@
         self._crc = 0
         self._file = self.temporary.open('wb')
         self._file.write(bytes(_CRC_BYTES))
-        head = messages.encode(header)
+        head = codec.encode(header)
         try:
             self.write([len(head).to_bytes(4, 'big'), head])
         except OSError:
--- a/godwitstall/consensus/voter_changes.py
+++ b/godwitstall/consensus/voter_changes.py
@@ -10,6 +10,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.consensus import voters
 from godwitstall import logs
 from godwitstall import messages
@@ -94,7 +95,7 @@
                 )
             if not self.refusal(change):
                 _LOG.info('Changes the voters: %s.', change)
-                self.replica.append(messages.encode(change))
+                self.replica.append(codec.encode(change))
                 return
 
     @property
--- a/godwitstall/consensus/voters.py
+++ b/godwitstall/consensus/voters.py
@@ -7,6 +7,7 @@
 
 import collections.abc
 
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import messages
 
@@ -18,7 +19,7 @@
 # each command of another type.
 _TYPE = slice(16, 18)
 _CHANGE_TYPES = frozenset(
-    messages.encode(sample)[_TYPE]
+    codec.encode(sample)[_TYPE]
     for sample in (messages.AddVoter(), messages.RemoveVoter())
 )
 
@@ -28,7 +29,7 @@
     if command[_TYPE] not in _CHANGE_TYPES:
         return None
     try:
-        message = messages.decode(command)
+        message = codec.decode(command)
     except errors.LinkError:
         return None
     if isinstance(message, messages.AddVoter | messages.RemoveVoter):
--- a/godwitstall/control/leadership.py
+++ b/godwitstall/control/leadership.py
@@ -9,6 +9,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.consensus import replica as replica_module
 from godwitstall.control import machine as machine_module
 from godwitstall.control import sessions as sessions_module
@@ -160,7 +161,7 @@
             ', '.join(beat.node_id for beat in silent),
         )
         await self.replica.propose(
-            messages.encode(messages.Expire(silent)), _TIMEOUT_S
+            codec.encode(messages.Expire(silent)), _TIMEOUT_S
         )
         for beat in silent:
             # A process that joins again gets the whole time: the report of
--- a/godwitstall/control/machine.py
+++ b/godwitstall/control/machine.py
@@ -12,6 +12,7 @@
 import logging
 import typing
 
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.configuration import state
 from godwitstall import errors
@@ -103,13 +104,13 @@
             self._note_change(_Change(index, _QUARANTINE))
         result: messages.Message
         try:
-            result = self._apply(index, time_ms, messages.decode(command))
+            result = self._apply(index, time_ms, codec.decode(command))
         except errors.LinkError:
             # The text of the codec holds memory addresses, which differ
             # between replicas.
             result = messages.CommandResult(detail='Bytes are no command.')
         self.applied_index = index
-        encoded = messages.encode(result)
+        encoded = codec.encode(result)
         if self._is_changed:
             self._tell()
         return encoded
@@ -182,7 +183,7 @@
         between two parts. Only operation records are many; the other slices
         are encoded by the call.
         """
-        head = messages.encode(
+        head = codec.encode(
             messages.MachineSnapshot(
                 configuration=self.configuration.to_snapshot(),
                 members=self.members.to_snapshot(),
@@ -385,7 +386,7 @@
 
 
 def _decode_head(data: bytes) -> messages.MachineSnapshot:
-    snapshot = messages.decode(data)
+    snapshot = codec.decode(data)
     if not isinstance(snapshot, messages.MachineSnapshot):
         raise errors.LinkError(
             errors.ErrorKind.BAD_MESSAGE, 'Bytes are no snapshot.'
--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -11,6 +11,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.consensus import replica as replica_module
 from godwitstall.control import barrier as barrier_module
 from godwitstall.control import leadership
@@ -176,11 +177,11 @@
 
         Errors: ControlError when that is not known to have happened.
         """
-        request = messages.Propose(command=messages.encode(command))
+        request = messages.Propose(command=codec.encode(command))
         reply = await self._propose(request)
         if not isinstance(reply, messages.ProposeReply):
             raise errors.ControlError(errors.ErrorKind.BAD_MESSAGE)
-        return messages.decode(reply.result)
+        return codec.decode(reply.result)
 
     async def document(self) -> bytes:
         """Return the newest whole configuration as it was sent.
--- a/godwitstall/control/sessions.py
+++ b/godwitstall/control/sessions.py
@@ -11,6 +11,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.control import barrier as barrier_module
 from godwitstall.control import machine as machine_module
 from godwitstall import errors
@@ -117,7 +118,7 @@
                 update = self.machine.full_update()
             else:
                 update = self.machine.update_since(since)
-            data = self.encoded[since] = messages.encode(update)
+            data = self.encoded[since] = codec.encode(update)
         return data
 
     def on_heartbeat(
--- a/godwitstall/ctl/client.py
+++ b/godwitstall/ctl/client.py
@@ -12,6 +12,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as link_module
 from godwitstall import messages
@@ -78,11 +79,11 @@
     async def propose(self, command: messages.Message) -> messages.Message:
         """Have a command logged and applied; returns its result."""
         reply = await self.request(
-            messages.Propose(command=messages.encode(command))
+            messages.Propose(command=codec.encode(command))
         )
         if not isinstance(reply, messages.ProposeReply):
             raise errors.ControlError(errors.ErrorKind.BAD_MESSAGE)
-        return messages.decode(reply.result)
+        return codec.decode(reply.result)
 
     async def query(
         self, kind: messages.QueryKind, text: str = ''
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -21,6 +21,7 @@
 import secrets
 import typing
 
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import logs
 from godwitstall import messages
@@ -121,7 +122,7 @@
         Errors: LinkError of kind PEER_LOST when the link is closed or the
         peer has stopped reading.
         """
-        self.send_encoded(messages.encode(message))
+        self.send_encoded(codec.encode(message))
 
     def send_encoded(self, data: bytes) -> None:
         """Queue a message that is encoded already, as send() does."""
@@ -206,9 +207,7 @@
             if end - body < length:
                 break
             start = body + length
-            self._ready.append(
-                messages.decode(bytes(self._buffer[body:start]))
-            )
+            self._ready.append(codec.decode(bytes(self._buffer[body:start])))
             if self.max_frame_bytes == _MAX_GREETING_BYTES:
                 # The last frame of the handshake may have a large one behind
                 # it, which the bound of the handshake must not refuse.
@@ -372,7 +371,7 @@
         raise errors.LinkError(errors.ErrorKind.NOT_ADMITTED)
     link.peer_id = reply.sender_id
     link.peer_role = messages.Role.CONTROL
-    link.max_frame_bytes = messages.MAX_FRAME_BYTES
+    link.max_frame_bytes = codec.MAX_FRAME_BYTES
     link.send(
         messages.HelloProof(
             _proof(
@@ -429,7 +428,7 @@
         raise
     link.peer_id = hello.sender_id
     link.peer_role = hello.role
-    link.max_frame_bytes = messages.MAX_FRAME_BYTES
+    link.max_frame_bytes = codec.MAX_FRAME_BYTES
     return link
 
 
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -13,6 +13,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as link_module
 from godwitstall import logs
@@ -317,7 +318,7 @@
         CONTROL_LOST when there is no reply within timeout_s; the command
         may take effect all the same.
         """
-        data = messages.encode(command)
+        data = codec.encode(command)
         end = clock.now() + timeout_s
         detail = 'no session'
         while (left_s := end - clock.now()) > 0:
@@ -335,7 +336,7 @@
                 await asyncio.sleep(min(_RECONNECT_MIN_S, left_s))
                 continue
             if isinstance(reply, messages.ProposeReply):
-                return messages.decode(reply.result)
+                return codec.decode(reply.result)
         raise errors.ControlError(
             errors.ErrorKind.CONTROL_LOST, f'Control gave no reply: {detail}'
         )
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as links
 from godwitstall import messages
@@ -102,7 +103,7 @@
         near, far = await _pair(server)
         assert near.peer_id == 'server'
         assert (far.peer_id, far.peer_role) == ('n1', messages.Role.NODE)
-        assert far.max_frame_bytes == messages.MAX_FRAME_BYTES
+        assert far.max_frame_bytes == codec.MAX_FRAME_BYTES
         near.close()
         far.close()
 
@@ -202,11 +203,11 @@
         (_frame(b'garbage'), errors.ErrorKind.BAD_MESSAGE),
         (_frame(b'\0' * 64), errors.ErrorKind.BAD_MESSAGE),
         (
-            _frame(messages.encode(messages.Cancel(1))),
+            _frame(codec.encode(messages.Cancel(1))),
             errors.ErrorKind.BAD_MESSAGE,
         ),
         (
-            _frame(messages.encode(messages.HelloProof(b'x'))),
+            _frame(codec.encode(messages.HelloProof(b'x'))),
             errors.ErrorKind.BAD_MESSAGE,
         ),
         # A length above the bound is refused before its bytes come.
@@ -264,11 +265,11 @@
     [
         (b'HTTP/1.1 400 Bad Request\r\n\r\n', errors.ErrorKind.BAD_MESSAGE),
         (
-            _frame(messages.encode(messages.HelloReply('s', b'n', b'p'))),
+            _frame(codec.encode(messages.HelloReply('s', b'n', b'p'))),
             errors.ErrorKind.NOT_ADMITTED,
         ),
         (
-            _frame(messages.encode(messages.Done())),
+            _frame(codec.encode(messages.Done())),
             errors.ErrorKind.NOT_ADMITTED,
         ),
         (b'', errors.ErrorKind.PEER_LOST),
@@ -310,7 +311,7 @@
     [
         _frame(b'garbage'),
         _frame(b''),
-        (messages.MAX_FRAME_BYTES + 1).to_bytes(4, 'big'),
+        (codec.MAX_FRAME_BYTES + 1).to_bytes(4, 'big'),
         b'\xff\xff\xff\xff',
     ],
 )
@@ -343,7 +344,7 @@
     async def test(server: _Server) -> None:
         near, far = await _pair(server)
         sent = [messages.Cancel(number) for number in range(20)]
-        data = b''.join(_frame(messages.encode(m)) for m in sent)
+        data = b''.join(_frame(codec.encode(m)) for m in sent)
         for start in range(0, len(data), 7):
             near.writer.write(data[start : start + 7])
             await near.writer.drain()
--- a/tests/base/test_messages.py
+++ b/tests/base/test_messages.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import messages
 
@@ -41,14 +42,14 @@
 @pytest.mark.parametrize('sample', _SAMPLES, ids=lambda s: type(s).__name__)
 def test_round_trip(sample: messages.Message) -> None:
     """Guards against a field that is lost or changed on the wire."""
-    assert messages.decode(messages.encode(sample)) == sample
+    assert codec.decode(codec.encode(sample)) == sample
 
 
 def test_every_message_encodes() -> None:
     """Guards against a data class whose fields the schema does not have."""
-    for kind in messages.KINDS.values():
+    for kind in codec.KINDS.values():
         message = kind()
-        assert messages.decode(messages.encode(message)) == message
+        assert codec.decode(codec.encode(message)) == message
         assert dataclasses.is_dataclass(message)
 
 
@@ -56,7 +57,7 @@
 def test_garbage_is_refused(data: bytes) -> None:
     """Guards against an unhandled codec exception."""
     with pytest.raises(errors.LinkError) as caught:
-        messages.decode(data)
+        codec.decode(data)
     assert caught.value.kind is errors.ErrorKind.BAD_MESSAGE
 
 
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.configuration import state
 from godwitstall import messages
@@ -248,9 +249,9 @@
 
     @stateful.rule()
     def move_to_other_replica(self) -> None:
-        data = messages.encode(self.state.to_snapshot())
+        data = codec.encode(self.state.to_snapshot())
         snapshot = typing.cast(
-            messages.ConfigurationSnapshot, messages.decode(data)
+            messages.ConfigurationSnapshot, codec.decode(data)
         )
         self.state = state.ConfigurationState()
         self.state.restore(snapshot)
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -10,6 +10,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.consensus import replica as replicas
 from godwitstall.consensus import storage
 from godwitstall import errors
@@ -384,18 +385,18 @@
     ]
     for change in refused:
         _, result = await leader.replica.propose(
-            messages.encode(change), fleets.WAIT_S
+            codec.encode(change), fleets.WAIT_S
         )
-        answer = messages.decode(result)
+        answer = codec.decode(result)
         assert isinstance(answer, messages.CommandResult)
         assert not answer.is_accepted
     await fleet.end(slot)
     await fleets.until(lambda: leader.replica.peers[slot].link is None)
-    removal = messages.encode(messages.RemoveVoter(slot, disk_id))
+    removal = codec.encode(messages.RemoveVoter(slot, disk_id))
     both = await asyncio.gather(
         leader.replica.propose(removal, fleets.WAIT_S),
         leader.replica.propose(
-            messages.encode(
+            codec.encode(
                 messages.RemoveVoter(
                     other, fleet.members[other].replica.disk.disk_id
                 )
@@ -403,7 +404,7 @@
             fleets.WAIT_S,
         ),
     )
-    accepted = [messages.decode(result) for _, result in both]
+    accepted = [codec.decode(result) for _, result in both]
     assert [
         isinstance(a, messages.CommandResult) and a.is_accepted
         for a in accepted
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -14,6 +14,7 @@
 import shutil
 import typing
 
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.consensus import replica as replicas
 from godwitstall.control import machine as machine_module
@@ -416,7 +417,7 @@
 
     async def propose(self, command: messages.Message) -> messages.Message:
         """Have a command applied; sends it again while there is no reply."""
-        data = messages.encode(command)
+        data = codec.encode(command)
         async with asyncio.timeout(fakes.WAIT_S):
             while True:
                 with contextlib.suppress(errors.GodwitstallError):
@@ -425,7 +426,7 @@
                         messages.Propose(command=data), 2.0
                     )
                     assert isinstance(reply, messages.ProposeReply)
-                    return messages.decode(reply.result)
+                    return codec.decode(reply.result)
                 await asyncio.sleep(0.02)
 
     async def apply_note(self, text: str) -> messages.NoteResult:
--- a/tests/control/test_configuration_in_force.py
+++ b/tests/control/test_configuration_in_force.py
@@ -6,6 +6,7 @@
 import pathlib
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall import messages
 from godwitstall.routing import view as view_module
 from loadtool import http_client
@@ -236,7 +237,7 @@
             text = harness.rate_note(2, 500.0, 702)
             link = await operator.connected()
             link.send(
-                messages.Propose(1, messages.encode(harness.apply_note(text)))
+                messages.Propose(1, codec.encode(harness.apply_note(text)))
             )
             await fakes.until(
                 lambda: fleet.control[leader].configuration.number == 2
--- a/tests/control/test_machine.py
+++ b/tests/control/test_machine.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.control import machine
 from godwitstall import errors
@@ -84,7 +85,7 @@
         upstream_incarnation=_NUMBERS,
     ),
     st.builds(messages.Lift, _PRINTS),
-).map(messages.encode)
+).map(codec.encode)
 
 
 def _all_queries(replica: machine.Machine) -> str:
@@ -100,8 +101,8 @@
 
 
 def _decoded(update: messages.StateUpdate) -> messages.StateUpdate:
-    data = messages.encode(update)
-    return typing.cast(messages.StateUpdate, messages.decode(data))
+    data = codec.encode(update)
+    return typing.cast(messages.StateUpdate, codec.decode(data))
 
 
 class _Replicas(stateful.RuleBasedStateMachine):
@@ -143,7 +144,7 @@
     def apply_garbage(self, data: bytes) -> None:
         before = self.first.snapshot()
         self.index += 1
-        result = messages.decode(self.first.apply(self.index, 0, data))
+        result = codec.decode(self.first.apply(self.index, 0, data))
         assert isinstance(result, messages.CommandResult)
         assert result.detail and not result.is_accepted
         assert self.first.snapshot() == before
@@ -228,17 +229,17 @@
     first, second = _new(), _new()
     result = first.apply(1, _T0, bytes(damaged))
     assert second.apply(1, _T0, bytes(damaged)) == result
-    messages.decode(result)
+    codec.decode(result)
     second.restore(1, first.snapshot())
     assert second.snapshot() == first.snapshot()
 
 
 @pytest.mark.parametrize(
-    'command', [b'', b'x' * 99, messages.encode(messages.Cancel())]
+    'command', [b'', b'x' * 99, codec.encode(messages.Cancel())]
 )
 def test_no_command(command: bytes) -> None:
     """Guards against results that differ by memory addresses."""
-    result = messages.decode(_new().apply(1, _T0, command))
+    result = codec.decode(_new().apply(1, _T0, command))
     assert isinstance(result, messages.CommandResult)
     assert result.detail in ('Bytes are no command.', 'Cancel is no command.')
 
@@ -247,7 +248,7 @@
     """Guards against a record dated before the entry it follows."""
     replica = _new()
     replica.apply(1, _T0, b'')
-    result = messages.decode(replica.apply(2, 1, messages.encode(_note(1, 1))))
+    result = codec.decode(replica.apply(2, 1, codec.encode(_note(1, 1))))
     assert isinstance(result, messages.NoteResult)
     assert result.time_ms == _T0
 
@@ -259,7 +260,7 @@
     for number in range(1, 5):
         node_id = messages.NodeId(f'n{number}')
         member = messages.Member(node_id, 1, messages.ServiceName('s'))
-        replica.apply(number, _T0, messages.encode(messages.Join(member)))
+        replica.apply(number, _T0, codec.encode(messages.Join(member)))
     assert [replica.update_since(i).is_full for i in range(6)] == [
         *[True, True, False, False, False, True]
     ]
@@ -268,18 +269,18 @@
 def test_restore_refuses_other_bytes() -> None:
     """Guards against a replica that loses its state to a bad snapshot."""
     replica = _new()
-    replica.apply(1, _T0, messages.encode(_note(1, 1)))
+    replica.apply(1, _T0, codec.encode(_note(1, 1)))
     claim = messages.Claim(
         messages.OperationId('018bcfe5-6800-7000-8000-000000000000'),
         attempt_id=messages.AttemptId('A'),
         node_id=messages.NodeId('n1'),
     )
-    replica.apply(1, _T0, messages.encode(claim))
+    replica.apply(1, _T0, codec.encode(claim))
     before = replica.snapshot()
-    other = messages.encode(messages.MachineSnapshot())
+    other = codec.encode(messages.MachineSnapshot())
     for data in (
         b'',
-        messages.encode(messages.Cancel()),
+        codec.encode(messages.Cancel()),
         before[:-1],
         before[:20],
         len(other).to_bytes(4, 'big') + other,
@@ -293,7 +294,7 @@
 def test_restore_of_records_as_messages() -> None:
     """Guards against an upgrade that cannot read the snapshot on the disk."""
     first, second = _new(), _new()
-    first.apply(1, _T0, messages.encode(_note(1, 1)))
+    first.apply(1, _T0, codec.encode(_note(1, 1)))
     record = messages.OperationRecord(
         messages.OperationId('018bcfe5-6800-7000-8000-000000000000'),
         messages.WorkspaceName('w'),
@@ -305,7 +306,7 @@
     )
     second.restore(
         9,
-        messages.encode(
+        codec.encode(
             messages.MachineSnapshot(
                 configuration=first.configuration.to_snapshot(),
                 operations=messages.OperationsSnapshot([record], _T0),
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -9,6 +9,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.control import sessions as sessions_module
 from godwitstall import errors
 from godwitstall import link as link_module
@@ -147,7 +148,7 @@
                 found = each.writer.transport.get_extra_info('socket')
                 found.setsockopt(socket.SOL_SOCKET, name, 4096)
             link.writer.transport.pause_reading()  # type: ignore
-            size = len(messages.encode(process.machine.full_update()))
+            size = len(codec.encode(process.machine.full_update()))
             most = number = 1
             while session.sent_index == process.machine.applied_index:
                 number += 1
@@ -272,7 +273,7 @@
     """Guards against requests that hang or end a process."""
     requests: list[tuple[messages.Message, errors.ErrorKind]] = [
         (
-            messages.Propose(0, messages.encode(messages.Drain(_NODE, True))),
+            messages.Propose(0, codec.encode(messages.Drain(_NODE, True))),
             errors.ErrorKind.NOT_LEADER,
         ),
         (
@@ -335,7 +336,7 @@
                 assert caught.value.kind is errors.ErrorKind.NOT_ADMITTED
             reply = await link.request(messages.Propose(0, b'garbage'), 9.0)
             assert isinstance(reply, messages.ProposeReply)
-            result = messages.decode(reply.result)
+            result = codec.decode(reply.result)
             assert isinstance(result, messages.CommandResult)
             assert not result.is_accepted
             for garbage in (
--- a/tests/ctl/fake_control.py
+++ b/tests/ctl/fake_control.py
@@ -15,6 +15,7 @@
 import types
 import typing
 
+from godwitstall import codec
 from godwitstall.control import machine as machines
 from godwitstall.ctl import client as clients
 from godwitstall import errors
@@ -100,9 +101,9 @@
         result = self.machine.apply(
             self.machine.applied_index + 1,
             self.time_ms,
-            messages.encode(command),
+            codec.encode(command),
         )
-        return messages.decode(result)
+        return codec.decode(result)
 
     async def _serve(
         self,
@@ -136,9 +137,9 @@
         reply: messages.Message
         match message:
             case messages.Propose():
-                result = self.apply(messages.decode(message.command))
+                result = self.apply(codec.decode(message.command))
                 reply = messages.ProposeReply(
-                    seq=message.seq, result=messages.encode(result)
+                    seq=message.seq, result=codec.encode(result)
                 )
             case messages.Query(kind=messages.QueryKind.STATUS):
                 reply = messages.QueryReply(message.seq, self._status(slot))
--- a/tests/ctl/test_note_check.py
+++ b/tests/ctl/test_note_check.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.control import machine as machines
 from godwitstall import messages
@@ -52,9 +53,7 @@
     command = messages.ApplyNote(
         notes.parse(text).number, notes.digest_of(text), 'mair', text.encode()
     )
-    result = messages.decode(
-        machine.apply(index, 1000, messages.encode(command))
-    )
+    result = codec.decode(machine.apply(index, 1000, codec.encode(command)))
     assert isinstance(result, messages.NoteResult)
     return result.verdict in (
         messages.NoteVerdict.ACCEPTED,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -19,6 +19,7 @@
 import httptools
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall.control import machine as machine_module
 from godwitstall import errors
@@ -108,9 +109,9 @@
         """Apply one command and push the change to all nodes."""
         self.index += 1
         self.commands.append(command)
-        result = messages.decode(
+        result = codec.decode(
             self.machine.apply(
-                self.index, clock.wall_ms(), messages.encode(command)
+                self.index, clock.wall_ms(), codec.encode(command)
             )
         )
         for link in list(self.sent):
@@ -197,13 +198,13 @@
                     )
                 )
             case messages.Propose() if self.is_deaf:
-                self.held.append(messages.decode(message.command))
+                self.held.append(codec.decode(message.command))
             case messages.Propose():
-                result = self.apply(messages.decode(message.command))
+                result = self.apply(codec.decode(message.command))
                 if not self.is_losing_replies:
                     link.send(
                         messages.ProposeReply(
-                            message.seq, messages.encode(result), self.index
+                            message.seq, codec.encode(result), self.index
                         )
                     )
             case _:
--- a/tests/members/test_registry.py
+++ b/tests/members/test_registry.py
@@ -5,6 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from godwitstall import codec
 from godwitstall.members import registry
 from godwitstall import messages
 
@@ -95,10 +96,10 @@
 
     @stateful.rule()
     def move_to_other_replica(self) -> None:
-        data = messages.encode(self.registry.to_snapshot())
+        data = codec.encode(self.registry.to_snapshot())
         self.registry = registry.Registry()
         self.registry.restore(
-            typing.cast(messages.MembersSnapshot, messages.decode(data))
+            typing.cast(messages.MembersSnapshot, codec.decode(data))
         )
 
     @stateful.invariant()
@@ -143,4 +144,4 @@
         members.apply(messages.Leave(messages.NodeId(name), 2**64 - 1))
         members.apply(messages.Drain(messages.NodeId(name), True))
     assert list(members.gone) == ['c', 'd'] and members.drained == {'a'}
-    messages.encode(members.to_snapshot())
+    codec.encode(members.to_snapshot())
--- a/tests/node/test_whole_answers.py
+++ b/tests/node/test_whole_answers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as link_module
 from godwitstall import messages
@@ -355,7 +356,7 @@
                     assert (await task).body == path.encode()
             # A frame that never ends: its call fails with the link.
             link = owner.links[-1]
-            data = messages.encode(
+            data = codec.encode(
                 messages.Answer(last.call_id, status=200, body=b'x' * 100)
             )
             link.writer.write(len(data).to_bytes(4, 'big') + data[:50])
--- a/tests/quarantine/test_reports.py
+++ b/tests/quarantine/test_reports.py
@@ -5,6 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
+from godwitstall import codec
 from godwitstall import messages
 from godwitstall.quarantine import reports
 
@@ -72,10 +73,10 @@
 
     @stateful.rule()
     def move_to_other_replica(self) -> None:
-        data = messages.encode(self.reports.to_snapshot())
+        data = codec.encode(self.reports.to_snapshot())
         self.reports = reports.CrashReports(3, _LIFETIME)
         self.reports.restore(
-            typing.cast(messages.QuarantineSnapshot, messages.decode(data))
+            typing.cast(messages.QuarantineSnapshot, codec.decode(data))
         )
 
     @stateful.invariant()
