Fuzz the announcement and readiness ports of a platform node

Change: three tests with fixed seeds: announcements with changed and cut fields, any target and body, and garbage over sockets on all three ports. A refused announcement changes nothing, and the ports serve others after it.

Found: nothing; no change of the product.

--- /dev/null
+++ b/tests/platform/test_bad_input.py
@@ -0,0 +1,158 @@
+"""Bytes and bodies that no program of the platform sends."""
+
+import asyncio
+import json
+import random
+
+from adapter import names
+from adapter import node as node_adapter
+import hypothesis
+from hypothesis import strategies
+
+from godwitstall import http_listener
+from godwitstall import messages
+from loadtool import addresses
+from tests import gateways
+
+_GOOD = {
+    'service': 'siop',
+    'address': '127.0.0.1:9000',
+    'concurrency': 87,
+    'state': 'ready',
+    'sequence': 7,
+    'born': 1000,
+}
+
+_READY = b'GET /-/readyz HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n'
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers(-(2**70), 2**70)
+    | strategies.floats()
+    | strategies.text(max_size=9)
+    | strategies.sampled_from(['siop', '127.0.0.1:9000', 'ready', ':', '1:-1'])
+    | strategies.lists(strategies.integers(), max_size=3),
+    lambda inner: strategies.dictionaries(
+        strategies.text(max_size=5), inner, max_size=3
+    ),
+    max_leaves=4,
+)
+_CHANGED = strategies.dictionaries(
+    strategies.sampled_from(sorted(_GOOD)), _JSON, min_size=1, max_size=3
+)
+
+
+def _serve(adapter: node_adapter.Node, target: str, body: bytes) -> int:
+    request = http_listener.Request('POST', target, [], body, 0.0)
+    return asyncio.run(adapter.serve_announcement(request)).status
+
+
+def _announced() -> node_adapter.Node:
+    """Return a node that knows its upstream."""
+    adapter = node_adapter.Node(gateways.make_node('siop', names.DIALECT))
+    target = '/-/rpc?call=instances.heartbeat&of=i-1'
+    assert _serve(adapter, target, json.dumps(_GOOD).encode()) == 200
+    return adapter
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(
+    changes=_CHANGED, cut=strategies.none() | strategies.integers(0, 90)
+)
+def test_bad_announcement_loses_nothing(
+    changes: dict[str, object], cut: int | None
+) -> None:
+    """Guards against an announcement that ends the node or its upstream."""
+    adapter = _announced()
+    upstream = adapter.node.upstream
+    body = json.dumps(_GOOD | changes).encode()[:cut]
+    target = '/-/rpc?call=instances.heartbeat&of=i-1'
+    status = _serve(adapter, target, body)
+    assert status in (200, 400)
+    assert upstream.client is not None
+    if status == 400:
+        assert upstream.state is messages.UpstreamState.READY
+        assert upstream.slots == 87
+    assert 0 < upstream.slots < 2**31
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(
+    target=strategies.text(
+        strategies.sampled_from('/-?&=%callofinstances.heartbeat\x80\xff'),
+        max_size=40,
+    ),
+    body=strategies.binary(max_size=40),
+)
+def test_any_target_gets_an_answer(target: str, body: bytes) -> None:
+    """Guards against a path or query that ends the node's handler."""
+    adapter = _announced()
+    assert _serve(adapter, target, body) in (200, 400, 404)
+    state = adapter.node.upstream.state
+    assert state is messages.UpstreamState.READY
+
+
+def _garbage(seed: int) -> bytes:
+    """Return a request with bytes changed, added or missing."""
+    chooser = random.Random(seed)
+    body = json.dumps(_GOOD).encode()
+    data = bytearray(
+        b'POST /-/rpc?call=instances.heartbeat&of=i-1 HTTP/1.1\r\n'
+        b'host: a\r\ncontent-length: %d\r\n\r\n' % len(body) + body
+    )
+    for _ in range(chooser.randint(1, 6)):
+        place = chooser.randrange(len(data))
+        match chooser.randrange(4):
+            case 0:
+                data[place] = chooser.randrange(256)
+            case 1:
+                del data[place : place + chooser.randint(1, 30)]
+            case 2:
+                data[place:place] = bytes(chooser.randrange(256) for _ in 'ab')
+            case _:
+                line = b'transfer-encoding: chunked\r\n'
+                data[place:place] = line
+        if not data:
+            return b'\0'
+    return bytes(data)
+
+
+def test_garbage_on_each_port() -> None:
+    """Guards against bytes that end a node or keep others from its ports."""
+
+    async def ask(address: str, data: bytes, ends: bool) -> bytes:
+        host, _, port = address.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        if ends:
+            # A part of a request would be waited for otherwise.
+            writer.write_eof()
+        try:
+            return await reader.read()
+        except ConnectionResetError:
+            return b''
+        finally:
+            writer.close()
+
+    node = _announced().node
+
+    async def scenario() -> None:
+        ports = [addresses.free_address() for _ in range(3)]
+        node.listener.handlers = dict(
+            zip(ports, node.listener.handlers.values(), strict=True)
+        )
+        await node.listener.start()
+        try:
+            async with asyncio.timeout(20.0):
+                for seed in range(150):
+                    answer = await ask(ports[seed % 3], _garbage(seed), True)
+                    assert not answer or answer.startswith(b'HTTP/1.1 ')
+                    assert not answer.startswith(b'HTTP/1.1 500')
+            for port in ports:
+                answer = await ask(port, _READY, False)
+                assert answer.startswith(b'HTTP/1.1 ')
+        finally:
+            await node.listener.close()
+
+    asyncio.run(scenario())
