Serve metrics on an address of their own, with histograms of durations

Cause: on the users' platform no address served the counters, and there was no histogram at all, so that an engineer on call had log lines only.

Ruled out: the admin application (litestar) on the platform; it starts 0.1 s later and takes memory of each of the processes.

Change: setting metrics_address for all programs, metrics_endpoint.py for processes without litestar, histograms of request, queue and upstream time, gauges for configuration number, state index and last confirmation.

--- a/bench/pages.py
+++ b/bench/pages.py
@@ -77,6 +77,7 @@
         for kind, metrics_of_kind in (
             ('counter', metrics.all_counters()),
             ('gauge', metrics.all_gauges()),
+            ('histogram', metrics.all_histograms()),
         )
         for found in metrics_of_kind
     ]
--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -10,6 +10,7 @@
 import pathlib
 import signal
 import sys
+import typing
 
 from absl import flags
 
@@ -53,14 +54,13 @@
     is full.
     """
     process = process_module.Process.from_config(options, fleet)
-    server = http_server.HttpServer(
-        {
-            options.admin_address: admin.create_app(
-                process.service.dump,
-                lambda: process.replica.leader_slot is not None,
-            )
-        }
+    admin_app = admin.create_app(
+        process.service.dump, lambda: process.replica.leader_slot is not None
     )
+    apps: dict[str, typing.Any] = {options.admin_address: admin_app}
+    if options.metrics_address:
+        apps[options.metrics_address] = admin_app
+    server = http_server.HttpServer(apps)
     wanted = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/godwitstall/metrics.py
+++ b/godwitstall/metrics.py
@@ -7,13 +7,34 @@
          REFUSED.inc(kind='rate_exceeded', workspace='shop-3')
 """
 
+import bisect
+import dataclasses
+import itertools
 import typing
 
 from aioprometheus import collectors
 from aioprometheus import formats
+from aioprometheus import histogram as aggregate
 
 _PREFIX = 'godwitstall_'
 
+# Upper bounds of the buckets of all histograms, seconds.
+BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+)
+
 # Characters of a label value that the text format wants escaped.
 _ESCAPES = str.maketrans({'\\': '\\\\', '"': '\\"', '\n': '\\n'})
 
@@ -57,8 +78,47 @@
         self.values[tuple(labels.items())] = value
 
 
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    """Events with one set of labels."""
+
+    # Events by bucket; the last bucket has no upper bound.
+    events: list[int]
+    # Sum of all values.
+    total: float = 0.0
+
+
+class Histogram:
+    """Durations in seconds, counted by buckets for each set of labels."""
+
+    def __init__(self, collector: collectors.Histogram) -> None:
+        self.collector = collector
+        # Counts by the labels' items.
+        self.values: dict[tuple[tuple[str, str], ...], _Counts] = {}
+
+    def observe(self, seconds: float, **labels: str) -> None:
+        """Count one event."""
+        key = tuple(labels.items())
+        counts = self.values.get(key)
+        if counts is None:
+            counts = self.values[key] = _Counts([0] * (len(BUCKETS_S) + 1))
+        counts.events[bisect.bisect_left(BUCKETS_S, seconds)] += 1
+        counts.total += seconds
+
+    def publish(self) -> None:
+        """Hand all counts to the collector."""
+        for labels, counts in self.values.items():
+            found = aggregate.Histogram(*BUCKETS_S)
+            sums = itertools.accumulate(counts.events)
+            found.buckets = dict(zip(found.buckets, sums, strict=True))
+            found.observations = sum(counts.events)
+            found.sum = counts.total
+            self.collector.set_value(dict(labels), found)
+
+
 _counters: dict[str, Counter] = {}
 _gauges: dict[str, Gauge] = {}
+_histograms: dict[str, Histogram] = {}
 
 
 def counter(name: str, text: str) -> Counter:
@@ -75,6 +135,15 @@
     return _gauges[name]
 
 
+def histogram(name: str, text: str) -> Histogram:
+    """Return the histogram of this name, made at the first call."""
+    if name not in _histograms:
+        _histograms[name] = Histogram(
+            collectors.Histogram(_PREFIX + name, text, buckets=BUCKETS_S)
+        )
+    return _histograms[name]
+
+
 def all_counters() -> list[Counter]:
     """Return every counter made so far."""
     return list(_counters.values())
@@ -85,6 +154,11 @@
     return list(_gauges.values())
 
 
+def all_histograms() -> list[Histogram]:
+    """Return every histogram made so far."""
+    return list(_histograms.values())
+
+
 class _Formatter(formats.text.TextFormatter):
     """Escapes label values, which aioprometheus does not.
 
@@ -111,4 +185,6 @@
     """Return all metrics in the Prometheus text format."""
     for metric in (*_counters.values(), *_gauges.values()):
         metric.publish()
+    for durations in _histograms.values():
+        durations.publish()
     return bytes(_Formatter().marshall(collectors.REGISTRY))
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -24,6 +24,10 @@
 from godwitstall import settings
 
 _LOG = logs.get('session')
+_CONFIRMED = metrics.gauge(
+    'state_confirmed_timestamp_seconds',
+    'Unix time at which control last confirmed the state of this node.',
+)
 _SESSIONS = metrics.counter(
     'control_sessions_total', 'Sessions opened to control.'
 )
@@ -251,6 +255,7 @@
                 await asyncio.sleep(_RECONNECT_MIN_S)
                 continue
             if self.view.index >= reply.applied_index:
+                _CONFIRMED.set(clock.wall_ms() / 1000)
                 self.lease_until = max(
                     self.lease_until, sent_at + self.options.lease_s
                 )
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -35,6 +35,12 @@
 _DISPATCHED = metrics.counter(
     'dispatched_total', 'Requests sent to the own upstream.'
 )
+_WAITED = metrics.histogram(
+    'queue_wait_seconds', 'Time to a slot of the upstream by priority.'
+)
+_UPSTREAM_SECONDS = metrics.histogram(
+    'upstream_seconds', 'Time of a dispatch by error kind, onward calls in.'
+)
 _ANSWERED = metrics.counter(
     'owner_answers_total', 'Answers of the owner side by error kind.'
 )
@@ -239,6 +245,7 @@
         now = clock.now()
         if not self.queue and self.upstream.may_start(self.running, now):
             self.running += 1
+            _WAITED.observe(0.0, priority=call.priority.name.lower())
             return
         future: asyncio.Future[None]
         future = asyncio.get_running_loop().create_future()
@@ -260,6 +267,9 @@
         self._start_waiting()
         try:
             await future
+            _WAITED.observe(
+                clock.now() - now, priority=call.priority.name.lower()
+            )
         except asyncio.CancelledError:
             if not self.queue.remove(item) and is_granted(future):
                 self.running -= 1
@@ -361,6 +371,7 @@
         finally:
             self.contexts.close(entry)
         ended = clock.now()
+        _UPSTREAM_SECONDS.observe(ended - now, kind=outcome.kind.label)
         if entry.onward_s and self._is_bound_chain(call):
             is_well = not entry.has_given_up and outcome.kind is (
                 errors.ErrorKind.NONE
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -34,6 +34,9 @@
 _REQUESTS = metrics.counter(
     'gateway_requests_total', 'Requests by route and error kind.'
 )
+_SECONDS = metrics.histogram(
+    'gateway_request_seconds', 'Time to the answer by route and error kind.'
+)
 
 # A node without a configuration is worth another try after this, ms.
 _NO_CONFIGURATION_RETRY_MS = 500
@@ -86,6 +89,11 @@
         except errors.RequestError as e:
             answer = dispatch.refusal(e)
         _REQUESTS.inc(route=route_name, kind=answer.kind.label)
+        _SECONDS.observe(
+            clock.now() - request.received_at,
+            route=route_name,
+            kind=answer.kind.label,
+        )
         self._tell(request, route_name, answer)
         return self._response(answer)
 
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -11,6 +11,7 @@
 from godwitstall import clock
 from godwitstall import http_listener
 from godwitstall import logs
+from godwitstall import metrics_endpoint
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import gateway
 from godwitstall.node import parts
@@ -49,6 +50,10 @@
         self.listener = http_listener.Listener(
             {options.caller_address: self.gateway.serve}
         )
+        if options.metrics_address:
+            self.listener.handlers[options.metrics_address] = (
+                metrics_endpoint.serve
+            )
         self.is_stopping = False
         self.share = self.allowance.share = local_share.LocalShare()
 
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -60,16 +60,15 @@
             self.upstream,
             self.relay,
         )
-        self.server = http_server.HttpServer(
-            {
-                options.caller_address: self.entry.caller_app,
-                options.upstream_address: self.entry.upstream_app,
-                options.admin_address: admin.create_app(
-                    self.dump, self.is_healthy
-                ),
-            },
-            options.max_header_bytes,
-        )
+        admin_app = admin.create_app(self.dump, self.is_healthy)
+        apps: dict[str, typing.Any] = {
+            options.caller_address: self.entry.caller_app,
+            options.upstream_address: self.entry.upstream_app,
+            options.admin_address: admin_app,
+        }
+        if options.metrics_address:
+            apps[options.metrics_address] = admin_app
+        self.server = http_server.HttpServer(apps, options.max_header_bytes)
 
     @classmethod
     def from_config(
--- a/godwitstall/routing/view.py
+++ b/godwitstall/routing/view.py
@@ -10,9 +10,15 @@
 import collections.abc
 
 from godwitstall import messages
+from godwitstall import metrics
 from godwitstall.routing import hosts
 from godwitstall.routing import table
 
+_NUMBER = metrics.gauge(
+    'configuration_number', 'Number of the configuration in force here.'
+)
+_INDEX = metrics.gauge('state_index', 'Log index of the state in force here.')
+
 
 class View:
     """Configuration, members and quarantines at one log index."""
@@ -53,6 +59,7 @@
         if not update.is_full and self.index < 0:
             return False
         self.index = update.index
+        _INDEX.set(update.index)
         if update.has_configuration or update.is_full:
             self._set_configuration(update.configuration)
         if update.is_full:
@@ -110,6 +117,7 @@
         self, configuration: messages.Configuration
     ) -> None:
         self.number = configuration.number
+        _NUMBER.set(configuration.number)
         self.routes = table.RouteTable(
             route for route in configuration.routes if not route.host
         )
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -130,6 +130,9 @@
     serves_without_lease: bool = False
     # Time that a planned stop takes at least, seconds; 0 means one lease.
     stop_settle_s: float = 0.0
+    # Where /metrics is served beside admin_address, 'host:port'; empty
+    # means there only, if there at all.
+    metrics_address: str = ''
     # Relays without limits and with naive retries, for comparison runs.
     is_pass_through: bool = False
 
@@ -150,6 +153,9 @@
     data_folder: str
     # Where other processes connect, 'host:port'; needed with seeds only.
     link_address: str = ''
+    # Where /metrics is served beside admin_address, 'host:port'; empty
+    # means there only, if there at all.
+    metrics_address: str = ''
     # Format an empty data folder at the start. Without it an empty folder is
     # an error, which keeps a disk that is not attached from being replaced.
     formats_empty_disk: bool = False
@@ -486,6 +492,8 @@
         options.upstream_address,
         options.admin_address,
     ]
+    if options.metrics_address:
+        addresses.append(options.metrics_address)
     if len(set(addresses)) != len(addresses):
         problems.append(f'{path}: node: two addresses are the same')
     return problems
