Let chains begin again soon after the failures of a deep service end

What ended well lately bounds what may begin, so that the share grew by the surplus alone.

Change: when four failures that the usual rate would have brought stay out, and for half a second at least, the share doubles each 0.8 s.

--- a/godwitstall/limits/chain_throttle.py
+++ b/godwitstall/limits/chain_throttle.py
@@ -7,6 +7,10 @@
 failed onward call, and lets only somewhat more begin than that. Chains of the
 highest priority are not held back: what the others leave is theirs.
 
+When the failures that were usual stay out for a while, the cause is gone, and
+the share that may begin doubles again and again. Without this rule the chains
+that end well would have to grow by the surplus alone, which takes seconds.
+
 Example: throttle.admits('lookup', point=0.3, now=now)
 """
 
@@ -31,6 +35,16 @@
 # Chains without which nothing is known, in the time above.
 _MIN_CHAINS = 8.0
 
+# Failures that would have come since the last one at the usual rate; when so
+# many stay out, chance is ruled out.
+_SURE_FAILURES = 4.0
+
+# Shortest time without a failure that says something, and time in which the
+# share then doubles, seconds.
+_MIN_QUIET_S = 0.5
+_DOUBLING_S = 0.8
+_MAX_DOUBLINGS = 10.0
+
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
@@ -41,6 +55,9 @@
     # Chains that ended without a failed onward call, and the others.
     ended_well: float = 0.0
     ended_badly: float = 0.0
+    # Time of the last failure, seconds, and failures per second then.
+    failed_at: float = 0.0
+    failure_rate: float = 0.0
     # Time up to which they have decayed, seconds.
     at: float = 0.0
 
@@ -52,6 +69,18 @@
         self.ended_badly *= share
         self.at = now
 
+    def fail(self, now: float) -> None:
+        """Count a chain that ended badly."""
+        self.ended_badly += 1
+        self.failed_at = now
+        self.failure_rate = self.ended_badly / _MEMORY_S
+
+    def growth(self, now: float) -> float:
+        """Return the factor by which the end of the failures raises shares."""
+        quiet_s = max(_SURE_FAILURES / self.failure_rate, _MIN_QUIET_S)
+        doublings = (now - self.failed_at - quiet_s) / _DOUBLING_S
+        return float(2.0 ** min(max(doublings, 0.0), _MAX_DOUBLINGS))
+
 
 def _surplus(counts: _Counts) -> float:
     ended = counts.ended_well + counts.ended_badly
@@ -73,7 +102,7 @@
         if counts.asked < _MIN_CHAINS or counts.ended_badly < 1:
             return True
         share = _surplus(counts) * counts.ended_well / counts.asked
-        return point < max(share, _MIN_SHARE)
+        return point < max(share, _MIN_SHARE) * counts.growth(now)
 
     def on_end(self, route: str, is_well: bool, now: float) -> None:
         """Count a chain that was let begin and has ended."""
@@ -81,7 +110,7 @@
         if is_well:
             counts.ended_well += 1
         else:
-            counts.ended_badly += 1
+            counts.fail(now)
 
     def _decayed(self, route: str, now: float) -> _Counts:
         counts = self._counts.get(route)
--- a/tests/limits/test_chains.py
+++ b/tests/limits/test_chains.py
@@ -4,8 +4,11 @@
 chains fail after most of their work is done.
 """
 
+import heapq
 import random
 
+import pytest
+
 from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
 from godwitstall import messages
@@ -126,6 +129,64 @@
     assert service.served >= 0.9 * 2 * 200
 
 
+def _admitted_after(
+    seed: int, rate: float, chain_s: float, ends_at: float
+) -> list[float]:
+    """Return the share of the demand that begins, for half seconds after.
+
+    All chains from 2 s until ends_at fail. Chains take about chain_s seconds,
+    and refused ones come back twice, half a second later.
+    """
+    chooser = random.Random(seed)
+    throttle = chain_throttle.ChainThrottle()
+    # (time, number, kind, tries); the number makes entries unlike.
+    events: list[tuple[float, int, str, int]] = []
+    now = 0.0
+    while now < ends_at + 8:
+        now += chooser.expovariate(rate)
+        events.append((now, len(events), 'asks', 0))
+    heapq.heapify(events)
+    begun: dict[int, int] = {}
+    asked: dict[int, int] = {}
+    number = len(events)
+    while events:
+        now, _, kind, tries = heapq.heappop(events)
+        number += 1
+        place = int((now - ends_at) * 2)
+        if kind != 'asks':
+            throttle.on_end('r', kind == 'well', now)
+            continue
+        asked[place] = asked.get(place, 0) + (tries == 0)
+        if throttle.admits('r', chooser.random(), now):
+            begun[place] = begun.get(place, 0) + 1
+            end = 'badly' if 2 <= now < ends_at else 'well'
+            later = now + chain_s * chooser.uniform(0.5, 1.5)
+            heapq.heappush(events, (later, number, end, 0))
+        elif tries < 2:
+            later = now + chooser.uniform(0.25, 0.75)
+            heapq.heappush(events, (later, number, 'asks', tries + 1))
+    return [begun.get(i, 0) / asked[i] for i in range(1, 15) if i in asked]
+
+
+@pytest.mark.parametrize('seed', range(5))
+@pytest.mark.parametrize(
+    'rate,chain_s', [(25.0, 0.5), (100.0, 0.5), (25.0, 1.5), (100.0, 1.5)]
+)
+def test_chains_begin_again_when_a_deep_service_is_back(
+    seed: int, rate: float, chain_s: float
+) -> None:
+    """Guards against refusals long after the cause has gone.
+
+    Load pattern: a service at the end of all chains fails every call for six
+    seconds and then works; refused callers come back. Goal of the design:
+    nine tenths within 5 s.
+    """
+    shares = _admitted_after(seed, rate, chain_s, ends_at=8.0)
+    # Two half seconds each, since single ones have few chains.
+    pairs = [(a + b) / 2 for a, b in zip(shares, shares[1:], strict=False)]
+    assert max(pairs[:8]) >= 0.9
+
+
 def test_throttle_without_failures_holds_nothing_back() -> None:
     """Guards against refusals in calm times."""
     throttle = chain_throttle.ChainThrottle()
