--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
 import secrets
@@ -24,7 +23,7 @@
 from godwitstall.node import context
 from godwitstall.node import crashes
 from godwitstall.node import dialect as dialect_module
-from godwitstall.node import digests
+from godwitstall.node import exchange
 from godwitstall.node import headers
 from godwitstall.node import upstream as upstream_module
 from godwitstall.node import upstream_client
@@ -60,9 +59,6 @@
 # of it up and down keeps those that were held back together apart.
 _CHAIN_RETRY_MS = 1000
 
-_FIRST_ERROR_STATUS = 400
-_MISDIRECTED = 421
-
 # Longest Retry-After of an upstream that is taken over, digits.
 _SECONDS_DIGITS = 4
 
@@ -324,7 +320,7 @@
     ) -> messages.Answer:
         attempt_id = messages.AttemptId(secrets.token_hex(16))
         found = await self.claimer.claim(
-            call, attempt_id, request_digest(call), deadline
+            call, attempt_id, exchange.request_digest(call), deadline
         )
         if found is not None:
             return found
@@ -409,9 +405,9 @@
         deadline: float,
     ) -> _Dispatched:
         if self.names is None:
-            block = request_block(call, entry, deadline)
+            block = exchange.request_block(call, entry, deadline)
         else:
-            block = dialect_block(
+            block = exchange.dialect_block(
                 self.names, call, self.upstream.instance_id, deadline
             )
         try:
@@ -428,7 +424,7 @@
             is_refused = isinstance(e.__cause__, ConnectionRefusedError)
             return _Dispatched(e.kind, None, e.detail, is_refused)
         if self.names is not None:
-            kind, detail = judge(self.names, answer)
+            kind, detail = exchange.judge(self.names, answer)
             return _Dispatched(kind, answer, detail)
         echo = upstream_client.find_header(answer.headers, headers.CONTEXT)
         if echo is not None and echo != entry.token.encode():
@@ -533,63 +529,3 @@
     if value is None or not value.isdigit() or len(value) > _SECONDS_DIGITS:
         return _RETRY_AFTER_MS
     return max(1, int(value)) * 1000
-
-
-def judge(
-    names: dialect_module.Dialect, answer: upstream_client.UpstreamAnswer
-) -> tuple[errors.ErrorKind, str]:
-    """Return whether a whole answer can be handed on, and if not, why."""
-
-    def find(name: bytes) -> bytes | None:
-        return upstream_client.find_header(answer.headers, name)
-
-    if find(names.not_run) is not None or answer.status == _MISDIRECTED:
-        return errors.ErrorKind.UPSTREAM_SHED, ''
-    is_success = answer.status < _FIRST_ERROR_STATUS
-    if is_success and find(names.signature) is None:
-        return errors.ErrorKind.ANSWER_CUT, 'The answer is not signed.'
-    if find(b'content-encoding') is not None:
-        return errors.ErrorKind.ANSWER_CUT, 'The answer is encoded.'
-    return errors.ErrorKind.NONE, ''
-
-
-def dialect_block(
-    names: dialect_module.Dialect,
-    call: messages.Call,
-    instance_id: str,
-    deadline: float,
-) -> bytes:
-    """Return the headers for an upstream with names of its own."""
-    left_ms = max(1, int((deadline - clock.now()) * 1000))
-    block = call.headers + b'%s: %d\r\n' % (names.deadline_ms, left_ms)
-    if instance_id:
-        block += b'%s: %s\r\n' % (
-            names.expected_instance,
-            instance_id.encode(),
-        )
-    return block
-
-
-def request_digest(call: messages.Call) -> bytes:
-    """Return what tells two requests under one operation id apart."""
-    return digests.of_parts(
-        call.method.encode(), call.path.encode(), call.body
-    )
-
-
-def request_block(
-    call: messages.Call, entry: context.Running, deadline: float
-) -> bytes:
-    """Return the headers that the upstream gets; never a key."""
-    left_ms = max(1, int((deadline - clock.now()) * 1000))
-    own: collections.abc.Iterable[tuple[bytes, str]] = (
-        (headers.CONTEXT, entry.token),
-        (headers.DEADLINE_MS, str(left_ms)),
-        (headers.ATTEMPTS, str(entry.budget.remaining)),
-        (headers.WORKSPACE, call.workspace),
-        (headers.OPERATION, call.operation_id),
-    )
-    lines = [
-        b'%s: %s\r\n' % (name, value.encode()) for name, value in own if value
-    ]
-    return call.headers + b''.join(lines)
