End a planned stop of control without requests that get no answer

Ruled out: waiting for the whole timeout at the end; a stop would take 2 s more for answers that are known to be errors.

Change: waiters of the barrier get an error when it ends; Listener.finish() answers what was sent and ends accepting two turns before it closes the sockets; stop_grace_s takes the platform's grace time, of which a planned stop uses 0.9. Settings in seconds may be text with a unit, so one message for a text in place of a number has changed; it is refused as before.

--- a/godwitstall/control/barrier.py
+++ b/godwitstall/control/barrier.py
@@ -24,13 +24,17 @@
         # Ends with the confirmation that started after it was made.
         self.next_round: asyncio.Future[None] | None = None
         self.wanted = asyncio.Event()
+        # run() was cancelled, so that nothing is confirmed any more.
+        self.is_ended = False
 
     async def wait(self, timeout_s: float) -> None:
         """Return once all that was committed before the call is applied.
 
         Errors: ControlError of kind CONTROL_LOST when that cannot be
-        confirmed within timeout_s.
+        confirmed within timeout_s, or when the process stops.
         """
+        if self.is_ended:
+            raise _stopping()
         if self.next_round is None:
             self.next_round = asyncio.get_running_loop().create_future()
             self.wanted.set()
@@ -43,25 +47,33 @@
             ) from e
 
     async def run(self) -> None:
-        """Serve one round after the other until cancelled."""
-        while True:
-            await self.wanted.wait()
-            self.wanted.clear()
-            future, self.next_round = self.next_round, None
-            if future is None:
-                continue
-            try:
-                await self._confirm()
-            except errors.GodwitstallError as e:
-                future.set_exception(
-                    errors.ControlError(
-                        errors.ErrorKind.CONTROL_LOST, e.detail
-                    )
-                )
-                # Not retrieved when every waiter has timed out.
-                future.exception()
-            else:
-                future.set_result(None)
+        """Serve one round after the other until cancelled.
+
+        Those that wait then get an error at once.
+        """
+        try:
+            while True:
+                await self.wanted.wait()
+                self.wanted.clear()
+                future, self.next_round = self.next_round, None
+                if future is not None:
+                    await self._serve(future)
+        finally:
+            self.is_ended = True
+            if self.next_round is not None:
+                _fail(self.next_round, _stopping())
+
+    async def _serve(self, future: asyncio.Future[None]) -> None:
+        try:
+            await self._confirm()
+        except errors.GodwitstallError as e:
+            kind = errors.ErrorKind.CONTROL_LOST
+            _fail(future, errors.ControlError(kind, e.detail))
+        except asyncio.CancelledError:
+            _fail(future, _stopping())
+            raise
+        else:
+            future.set_result(None)
 
     async def _confirm(self) -> None:
         timeout_s = _ROUND_TIMEOUT_S
@@ -82,3 +94,15 @@
             index = reply.index
         left_s = started + timeout_s - clock.now()
         await self.replica.wait_applied(index, max(0.0, left_s))
+
+
+def _stopping() -> errors.ControlError:
+    return errors.ControlError(
+        errors.ErrorKind.CONTROL_LOST, 'This replica is stopping.'
+    )
+
+
+def _fail(future: asyncio.Future[None], error: errors.ControlError) -> None:
+    future.set_exception(error)
+    # Not retrieved when every waiter has timed out.
+    future.exception()
--- a/platform/adapter/units.py
+++ b/godwitstall/durations.py
@@ -1,4 +1,7 @@
-"""Times on the platform's wire: a number and its unit as text."""
+"""Durations as text: a number and its unit.
+
+Example: durations.to_ms('1.5s') == 1500
+"""
 
 import re
 
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -40,6 +40,11 @@
 # Time between two looks at slow and idle connections, seconds.
 _SWEEP_INTERVAL_S = 0.5
 
+# Time for the first bytes of connections that came last before a stop, and
+# time between two looks at what is still owed, seconds.
+_LAST_READ_S = 0.05
+_FINISH_POLL_S = 0.02
+
 # Unsent bytes above which no further request of a connection is read.
 _HIGH_WATER_BYTES = 256 * 1024
 
@@ -318,6 +323,10 @@
         if was_full:
             self._update_reading()
 
+    def is_owing(self) -> bool:
+        """Return whether a request was begun and is not answered."""
+        return bool(self.began_at or self.exchanges)
+
     def check_time(self, now: float) -> None:
         """End a connection that is idle or sends its headers too slowly."""
         limits = self.listener.limits
@@ -393,10 +402,42 @@
         """Close the listening socket of an address; connections stay."""
         self.servers[address].close()
 
-    async def close(self) -> None:
-        """Stop listening and close all connections."""
+    async def _stop_listening(self) -> None:
+        """Close the listening sockets.
+
+        A connection that asyncio has accepted but not yet handed to its
+        server when that is closed stays open and is never read (Python 3.11),
+        so accepting ends two turns of the loop before: one for an accept that
+        was due already, one for the hand-over.
+        """
+        loop = asyncio.get_running_loop()
+        for server in self.servers.values():
+            for listening in server.sockets:
+                loop.remove_reader(listening.fileno())
+        for _ in range(2):
+            await asyncio.sleep(0)
         for server in self.servers.values():
             server.close()
+
+    async def finish(self, timeout_s: float) -> None:
+        """Stop listening, answer what was sent before, and close.
+
+        Requests that are still served after timeout_s are cut.
+        """
+        self.is_stopping = True
+        await self._stop_listening()
+        end = clock.now() + timeout_s
+        # Connections that were accepted just now have not been read yet.
+        await asyncio.sleep(_LAST_READ_S)
+        while clock.now() < end and any(
+            connection.is_owing() for connection in self.connections
+        ):
+            await asyncio.sleep(_FINISH_POLL_S)
+        await self.close()
+
+    async def close(self) -> None:
+        """Stop listening and close all connections."""
+        await self._stop_listening()
         if self.sweeper is not None:
             self.sweeper.cancel()
             with contextlib.suppress(asyncio.CancelledError):
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -104,7 +104,7 @@
         the time of the planned stop is over.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
-        end = clock.now() + self.options.stop_timeout_s
+        end = clock.now() + self.options.planned_stop_s()
         self.is_stopping = True
         await self.settle()
         self.listener.is_stopping = True
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -95,7 +95,7 @@
         _LOG.info('Node %s is stopping.', self.options.node_id)
         self.entry.is_stopping = True
         await self.settle()
-        end = clock.now() + self.options.stop_timeout_s
+        end = clock.now() + self.options.planned_stop_s()
         # Callers that keep calling must not use up the time of the requests
         # that run; from here on they find no listener and go elsewhere.
         await self.server.stop_accepting(self.options.caller_address)
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -16,6 +16,7 @@
 import tomllib
 import typing
 
+from godwitstall import durations
 from godwitstall import errors
 from godwitstall import messages
 
@@ -66,6 +67,11 @@
         return pathlib.Path(self.secret_file).read_bytes().strip()
 
 
+# Part of the grace time in which a planned stop ends; the rest is for a
+# process that gets little processor time.
+_GRACE_SHARE = 0.9
+
+
 @dataclasses.dataclass
 class NodeOptions:
     """The table [node] of godwitstall-node."""
@@ -125,6 +131,9 @@
     default_deadline_ms: int = 10_000
     # Longest time for running calls at a planned stop, seconds.
     stop_timeout_s: float = 30.0
+    # Time from SIGTERM to the kill, seconds; 0 when there is no kill. A
+    # planned stop ends before it.
+    stop_grace_s: float = 0.0
     # Goes on with the last known configuration when control is lost, in
     # place of refusing all calls.
     serves_without_lease: bool = False
@@ -136,6 +145,12 @@
     # Relays without limits and with naive retries, for comparison runs.
     is_pass_through: bool = False
 
+    def planned_stop_s(self) -> float:
+        """Return how long running calls are waited for, seconds."""
+        if not self.stop_grace_s:
+            return self.stop_timeout_s
+        return min(self.stop_timeout_s, self.stop_grace_s * _GRACE_SHARE)
+
 
 @dataclasses.dataclass
 class ControlOptions:
@@ -222,6 +237,7 @@
     'default_deadline_ms': (1, 3_600_000),
     'stop_timeout_s': (0, 3600),
     'stop_settle_s': (0, 3600),
+    'stop_grace_s': (0, 3600),
     'seed_port': (0, 65_535),
     'election_min_s': (0.05, 60),
     'election_max_s': (0.05, 120),
@@ -318,6 +334,8 @@
             found.append(f'{where}: unknown key{_hint(key, known)}')
             continue
         try:
+            if key.endswith('_s') and isinstance(value, str):
+                value = durations.to_ms(value) / 1000
             values[key] = _convert(hints[key], value)
             _check_range(key, values[key])
         except ValueError as e:
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -192,3 +192,39 @@
         assert answer.count(b'HTTP/1.1') == 1
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('turns', range(1, 25))
+def test_no_connection_is_left_open_at_the_end(turns: int) -> None:
+    """Guards against a connection that nobody reads and nobody closes.
+
+    Clients connect in each turn of the loop while the listener finishes.
+    """
+
+    async def ask(address: str, delay: int) -> bytes:
+        for _ in range(delay):
+            await asyncio.sleep(0)
+        try:
+            return await _talk(address, b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
+        except (ConnectionRefusedError, ConnectionResetError):
+            # Not accepted, so not read.
+            return b'refused'
+
+    async def handler(
+        request: http_listener.Request,
+    ) -> http_listener.Response:
+        await asyncio.sleep(0)
+        return http_listener.Response(200, [], b'whole')
+
+    async def scenario() -> None:
+        async with _listening(handler) as (listener, address):
+            asks = [asyncio.create_task(ask(address, i)) for i in range(30)]
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await listener.finish(_WAIT_S)
+            answers = await asyncio.gather(*asks)
+            assert all(
+                a == b'refused' or a.endswith(b'whole') for a in answers
+            )
+
+    asyncio.run(scenario())
