--- a/godwitstall/limits/chain_throttle.py
+++ b/godwitstall/limits/chain_throttle.py
@@ -58,6 +58,8 @@
     # Time of the last failure, seconds, and failures per second then.
     failed_at: float = 0.0
     failure_rate: float = 0.0
+    # Chains that ended well since then.
+    well_since: int = 0
     # Time up to which they have decayed, seconds.
     at: float = 0.0
 
@@ -73,10 +75,16 @@
         """Count a chain that ended badly."""
         self.ended_badly += 1
         self.failed_at = now
+        self.well_since = 0
         self.failure_rate = self.ended_badly / _MEMORY_S
 
     def growth(self, now: float) -> float:
-        """Return the factor by which the end of the failures raises shares."""
+        """Return the factor by which the end of the failures raises shares.
+
+        Silence alone says nothing: chains can take seconds to fail.
+        """
+        if self.well_since < _SURE_FAILURES:
+            return 1.0
         quiet_s = max(_SURE_FAILURES / self.failure_rate, _MIN_QUIET_S)
         doublings = (now - self.failed_at - quiet_s) / _DOUBLING_S
         return float(2.0 ** min(max(doublings, 0.0), _MAX_DOUBLINGS))
@@ -109,6 +117,7 @@
         counts = self._decayed(route, now)
         if is_well:
             counts.ended_well += 1
+            counts.well_since += 1
         else:
             counts.fail(now)
 
