Give up an overdue answer when another owner can be asked

Cause: a lost answer is waited for until the deadline of its call, 0.7 to 2.5 s for work of 0.02 s. The chain that needs it is late or fails, and all that it has cost is lost.

Ruled out: a second send beside the first; it needs two answers in flight for one call and a rule for which of them counts. Giving up without regard to the retry budget; the caller would get an error in place of an answer that may still come.

Its owner gives the answer up when it takes eight times the usual time (limits/overdue.py) while others are answered and no byte of it has come.

--- a/godwitstall/limits/overdue.py
+++ b/godwitstall/limits/overdue.py
@@ -17,7 +17,7 @@
 # Times the usual duration, and at least this long, seconds, after which a
 # request counts as overdue.
 _FACTOR = 8.0
-_MIN_S = 0.25
+MIN_S = 0.25
 
 # Weight of one answer in the moving average of the duration.
 _WEIGHT = 0.05
@@ -59,8 +59,18 @@
 
         own_times_s are the times since they were sent, without onward calls.
         """
-        if not self.usual_s or now - self.answered_at > _PROGRESS_S:
+        if not self._makes_progress(now):
             return 0
-        bound_s = max(self.usual_s * _FACTOR, _MIN_S)
+        bound_s = self._bound_s()
         overdue = sum(own_s > bound_s for own_s in own_times_s)
         return min(overdue, int(limit * _MAX_SHARE))
+
+    def is_overdue(self, own_s: float, now: float) -> bool:
+        """Return whether the answer to one request is probably lost."""
+        return self._makes_progress(now) and own_s > self._bound_s()
+
+    def _makes_progress(self, now: float) -> bool:
+        return bool(self.usual_s) and now - self.answered_at <= _PROGRESS_S
+
+    def _bound_s(self) -> float:
+        return max(self.usual_s * _FACTOR, MIN_S)
--- a/tests/node/test_framing.py
+++ b/tests/node/test_framing.py
@@ -141,3 +141,59 @@
             assert 5.0 < connection.idle_limit_s < 10.0
 
     asyncio.run(scenario())
+
+
+def test_overdue_answer_is_given_up_before_the_deadline() -> None:
+    """Guards against a lost answer that is waited for until the deadline."""
+
+    async def respond(count: int, writer: asyncio.StreamWriter) -> None:
+        pass
+
+    async def scenario() -> None:
+        looks: list[bool] = []
+
+        def is_overdue() -> bool:
+            looks.append(len(looks) == 2)
+            return looks[-1]
+
+        async with _client(respond) as client:
+            with pytest.raises(errors.RequestError) as caught:
+                await client.send(
+                    'GET',
+                    '/',
+                    b'',
+                    b'',
+                    clock.now() + _WAIT_S,
+                    patience=upstream_client.Patience(0.01, is_overdue),
+                )
+        assert caught.value.kind is errors.ErrorKind.ANSWER_OVERDUE
+        assert looks == [False, False, True]
+
+    asyncio.run(scenario())
+
+
+def test_answer_that_has_begun_is_not_given_up() -> None:
+    """Guards against a long answer that is cut although it is arriving."""
+
+    async def respond(count: int, writer: asyncio.StreamWriter) -> None:
+        whole = _answer(b'7', b'x' * 40)
+        writer.write(whole[:60])
+        await writer.drain()
+        await asyncio.sleep(0.1)
+        writer.write(whole[60:])
+
+    async def scenario() -> None:
+        async with _client(respond) as client:
+            answer = await client.send(
+                'GET',
+                '/',
+                b'',
+                b'',
+                clock.now() + _WAIT_S,
+                echo=b'7',
+                patience=upstream_client.Patience(0.05, lambda: True),
+            )
+            assert answer.body == b'x' * 40
+            assert not client.busy and len(client.idle) == 1
+
+    asyncio.run(scenario())
