Tell overdue answers by the usual time of their route

Ruled out: a higher factor for all; it leaves lost answers of short requests waiting.

Change: the moving average is kept by route. A test names the mix.

--- a/godwitstall/limits/overdue.py
+++ b/godwitstall/limits/overdue.py
@@ -3,16 +3,17 @@
 An answer that is lost on its way is waited for until the deadline, which is
 often a hundred times as long as the request ran. A few lost answers in a
 hundred then fill all slots of an upstream that is nearly idle. Requests that
-take many times as long as is usual do not count as running, as long as others
-are answered meanwhile: an upstream that answers none is stuck, and more work
-would only make it worse.
+take many times as long as is usual on their route do not count as running, as
+long as others are answered meanwhile: an upstream that answers none is stuck,
+and more work would only make it worse.
 
 Example:
-    watch.on_answer(0.02, now)
-    free = limit - (running - watch.count(own_times, limit, now))
+    watch.on_answer(Waited('r', 0.02), now)
+    free = limit - (running - watch.count(waited, limit, now))
 """
 
 import collections.abc
+import typing
 
 # Times the usual duration, and at least this long, seconds, after which a
 # request counts as overdue.
@@ -30,47 +31,41 @@
 _MAX_SHARE = 0.5
 
 
+class Waited(typing.NamedTuple):
+    """A request and the time for which its upstream has had it."""
+
+    # Name of the route; the kinds of request of one upstream differ in length.
+    route: str
+    # Time since it was sent, without that of onward calls, seconds.
+    own_s: float
+
+
 class OverdueWatch:
     """How long requests usually take at one upstream."""
 
     def __init__(self) -> None:
-        # Moving average of the time to an answer, seconds; 0 before the first.
-        self.usual_s = 0.0
+        # Moving averages of the time to an answer by route, seconds.
+        self.usual_s: dict[str, float] = {}
         # Time of the last answer, seconds.
         self.answered_at = float('-inf')
 
-    def on_answer(self, own_s: float, now: float) -> None:
-        """Count an answer that came own_s after its request was sent.
-
-        The time of onward calls is left out.
-        """
+    def on_answer(self, waited: Waited, now: float) -> None:
+        """Count an answer that has come."""
         self.answered_at = now
-        if not self.usual_s:
-            self.usual_s = own_s
-        self.usual_s += _WEIGHT * (own_s - self.usual_s)
+        usual_s = self.usual_s.get(waited.route, waited.own_s)
+        usual_s += _WEIGHT * (waited.own_s - usual_s)
+        self.usual_s[waited.route] = usual_s
 
     def count(
-        self,
-        own_times_s: collections.abc.Iterable[float],
-        limit: int,
-        now: float,
+        self, running: collections.abc.Iterable[Waited], limit: int, now: float
     ) -> int:
-        """Return how many of the running requests hold no slot.
-
-        own_times_s are the times since they were sent, without onward calls.
-        """
-        if not self._makes_progress(now):
-            return 0
-        bound_s = self._bound_s()
-        overdue = sum(own_s > bound_s for own_s in own_times_s)
+        """Return how many of the running requests hold no slot."""
+        overdue = sum(self.is_overdue(waited, now) for waited in running)
         return min(overdue, int(limit * _MAX_SHARE))
 
-    def is_overdue(self, own_s: float, now: float) -> bool:
+    def is_overdue(self, waited: Waited, now: float) -> bool:
         """Return whether the answer to one request is probably lost."""
-        return self._makes_progress(now) and own_s > self._bound_s()
-
-    def _makes_progress(self, now: float) -> bool:
-        return bool(self.usual_s) and now - self.answered_at <= _PROGRESS_S
-
-    def _bound_s(self) -> float:
-        return max(self.usual_s * _FACTOR, MIN_S)
+        usual_s = self.usual_s.get(waited.route)
+        if usual_s is None or now - self.answered_at > _PROGRESS_S:
+            return False
+        return waited.own_s > max(usual_s * _FACTOR, MIN_S)
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -312,7 +312,7 @@
         if self.queue and self.upstream.is_ready():
             self.overdue = self.overdue_watch.count(
                 (
-                    entry.own_time_s(now)
+                    _waited(entry, now)
                     for entry in self.contexts.running.values()
                 ),
                 self.upstream.capacity(now),
@@ -470,7 +470,7 @@
         def is_overdue() -> bool:
             now = clock.now()
             return not entry.onward_calls and self.overdue_watch.is_overdue(
-                entry.own_time_s(now), now
+                _waited(entry, now), now
             )
 
         return upstream_client.Patience(overdue_module.MIN_S, is_overdue)
@@ -480,7 +480,7 @@
     ) -> None:
         if outcome.answer is not None:
             self.upstream.on_answer(now)
-            self.overdue_watch.on_answer(entry.own_time_s(now), now)
+            self.overdue_watch.on_answer(_waited(entry, now), now)
         self.upstream.limit.on_sample(
             entry.own_time_s(now),
             self.running,
@@ -530,6 +530,10 @@
         }
 
 
+def _waited(entry: context.Running, now: float) -> overdue_module.Waited:
+    return overdue_module.Waited(entry.route_name, entry.own_time_s(now))
+
+
 def is_granted(future: asyncio.Future[None]) -> bool:
     """Return whether a waiting call was given a slot."""
     return (
--- a/tests/limits/test_overdue.py
+++ b/tests/limits/test_overdue.py
@@ -14,6 +14,10 @@
 _DEADLINE_S = 2.0
 
 
+def _waited(own_s: float, route: str = 'r') -> overdue.Waited:
+    return overdue.Waited(route, own_s)
+
+
 class _Upstream:
     """Requests through the slots of one upstream, in simulated time."""
 
@@ -32,8 +36,11 @@
     def free(self, now: float) -> int:
         held = len(self.waited)
         if self.counts_overdue:
-            times = (now - start for start in self.waited.values())
-            held -= self.watch.count(times, _LIMIT, now)
+            held -= self.watch.count(
+                [_waited(now - start) for start in self.waited.values()],
+                _LIMIT,
+                now,
+            )
         return _LIMIT - held
 
     def play(self, rate: float, length_s: float) -> None:
@@ -56,7 +63,7 @@
                     start = self.waited.pop(number)
                     if kind == 'answered':
                         self.answered += 1
-                        self.watch.on_answer(now - start, now)
+                        self.watch.on_answer(_waited(now - start), now)
 
     def _start(
         self, events: list[tuple[float, str, int]], now: float, number: int
@@ -93,10 +100,10 @@
 def test_upstream_that_answers_nothing_gets_no_more() -> None:
     """Guards against work piled on an upstream that is stuck or frozen."""
     watch = overdue.OverdueWatch()
-    assert watch.count([9.0] * 10, 10, 0.0) == 0
+    assert watch.count([_waited(9.0)] * 10, 10, 0.0) == 0
     for step in range(100):
-        watch.on_answer(0.02, step / 100)
-    stuck = [1.0] * 10
+        watch.on_answer(_waited(0.02), step / 100)
+    stuck = [_waited(1.0)] * 10
     assert watch.count(stuck, 10, 1.1) == 5
     assert watch.count(stuck, 10, 1.5) == 0
 
@@ -105,6 +112,17 @@
     """Guards against an upstream that is slower than it was by a few times."""
     watch = overdue.OverdueWatch()
     for step in range(100):
-        watch.on_answer(0.05, step / 100)
-    assert watch.count([0.3] * 10, 10, 1.0) == 0
-    assert watch.count([0.3, 0.5], 10, 1.0) == 1
+        watch.on_answer(_waited(0.05), step / 100)
+    assert watch.count([_waited(0.3)] * 10, 10, 1.0) == 0
+    assert watch.count([_waited(0.3), _waited(0.5)], 10, 1.0) == 1
+
+
+def test_long_kind_of_request_is_not_taken_for_a_lost_one() -> None:
+    """Guards against long requests that are given up beside short ones."""
+    watch = overdue.OverdueWatch()
+    for step in range(100):
+        watch.on_answer(_waited(0.01, 'short'), step / 100)
+        watch.on_answer(_waited(0.4, 'long'), step / 100)
+    assert watch.is_overdue(_waited(0.5, 'short'), 1.0)
+    assert not watch.is_overdue(_waited(2.0, 'long'), 1.0)
+    assert not watch.is_overdue(_waited(9.0, 'unknown'), 1.0)
