Give an answer up only for a member that would run the call at once

Ruled out: waiting on at the first owner when the second refuses; its connection has been closed by then.

Change: a call may move only when another member has room.

Tests: room elsewhere, by loads.

--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -140,7 +140,7 @@
             call.may_move = (
                 left > 1
                 and self._may_send_again(call, budget)
-                and self.picker.has_other(
+                and self.picker.has_room_elsewhere(
                     call.service, excluded, member.node_id, clock.now()
                 )
             )
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -102,16 +102,18 @@
         margin = self.score(best_near, now) - self.score(best_far, now)
         return best_near if margin <= ZONE_MARGIN else best_far
 
-    def has_other(
+    def has_room_elsewhere(
         self,
         service: str,
         excluded: set[messages.NodeId],
         chosen: messages.NodeId,
         now: float,
     ) -> bool:
-        """Return whether a call could go to one more member after chosen."""
+        """Return whether a member besides chosen would run a call at once."""
         return any(
-            member.node_id != chosen and self._is_free(member, excluded, now)
+            member.node_id != chosen
+            and self._is_free(member, excluded, now)
+            and self._has_room(member, now)
             for members in self._candidates(service)
             for member in members
         )
