Start a replica again inside its process when the disk refuses writes

What the disk holds is good, and it works again soon.

Ruled out: going on with the same replica; after an error of a write, memory and disk are in doubt. Retrying in godwitstall-control as well: there the one who starts processes decides, and its exit code is documented.

Change: DiskError tells a disk that refuses from one that is corrupt. On the platform the program makes a new replica each second until the disk works or a stop is wanted. A corrupt disk ends the process as before.

Tests: storage functions that fail twice with ENOSPC; both fail without the change, since the program ends.

--- a/godwitstall/consensus/log.py
+++ b/godwitstall/consensus/log.py
@@ -169,7 +169,7 @@
         Errors: StorageError when the disk failed.
         """
         if self.failure is not None:
-            raise errors.StorageError(f'The disk failed: {self.failure}.')
+            raise errors.DiskError(f'The disk failed: {self.failure}.')
         if self._done >= self._queued:
             return
         future = asyncio.get_running_loop().create_future()
@@ -194,7 +194,7 @@
             except OSError as e:
                 self.failure = e
                 self._finish(self._queued, e)
-                raise errors.StorageError(f'The disk failed: {e}.') from e
+                raise errors.DiskError(f'The disk failed: {e}.') from e
             if self._cut_index is not None:
                 last = min(last, max(0, self._cut_index - 1))
             self.durable_index = last
@@ -212,7 +212,7 @@
                 future.set_result(None)
             else:
                 future.set_exception(
-                    errors.StorageError(f'The disk failed: {failure}.')
+                    errors.DiskError(f'The disk failed: {failure}.')
                 )
 
     def _execute(self, operations: list[_Operation]) -> None:
--- a/godwitstall/control/process.py
+++ b/godwitstall/control/process.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import collections.abc
+import contextlib
 
 from godwitstall.consensus import replica as replica_module
 from godwitstall.control import machine as machine_module
@@ -22,6 +24,9 @@
 
 _LOG = logs.get('control')
 
+# Time between two tries to start on a disk that refuses, seconds.
+_DISK_RETRY_S = 1.0
+
 
 class Process:
     """One replica of the replicated state and its service."""
@@ -54,10 +59,14 @@
     async def start(self, link_address: str) -> None:
         """Read the disk and take part; links come to 'host:port'.
 
-        Errors: StorageError for a disk that cannot be used, OSError when the
-        address cannot be used.
+        Errors: DiskError when the disk refuses an operation, StorageError for
+        one that is corrupt or of another fleet, OSError when the address
+        cannot be used.
         """
-        await self.replica.start()
+        try:
+            await self.replica.start()
+        except OSError as e:
+            raise errors.DiskError(f'The disk failed: {e}.') from e
         await self.service.start(link_address)
         _LOG.info('Replica %s started.', self.options.slot)
 
@@ -74,13 +83,40 @@
     async def stop(self) -> None:
         """Stop as planned.
 
-        Errors: StorageError when the replica has failed. A process without
-        its replica serves nobody, and its nodes must connect to another one.
+        Errors: StorageError when the replica has failed, DiskError when the
+        disk was the cause. A process without its replica serves nobody, and
+        its nodes must connect to another one.
         """
         _LOG.info('Replica %s is stopping.', self.options.slot)
         await self.service.stop()
         _LOG.info('Replica %s stopped.', self.options.slot)
-        if self.replica.failure is not None:
-            raise errors.StorageError(
-                f'The replica failed: {self.replica.failure}'
-            )
+        match self.replica.failure:
+            case None:
+                return
+            case OSError() | errors.DiskError():
+                raise errors.DiskError(
+                    f'The replica failed: {self.replica.failure}'
+                )
+            case failure:
+                raise errors.StorageError(f'The replica failed: {failure}')
+
+
+async def repeat_while_disk_fails(
+    run: collections.abc.Callable[[], collections.abc.Awaitable[None]],
+    wanted: asyncio.Event,
+) -> None:
+    """Run a replica again and again until its disk works or a stop is wanted.
+
+    A full or faulty disk often recovers, and a process that ends and is
+    started again at each try counts as one that crashes.
+    """
+    while not wanted.is_set():
+        try:
+            await run()
+        except errors.DiskError as e:
+            _LOG.error('%s Next try in %.1f s.', e, _DISK_RETRY_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_DISK_RETRY_S):
+                    await wanted.wait()
+        else:
+            return
--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -249,3 +249,7 @@
 
 class StorageError(Exception):
     """A file on disk is corrupt; the text says what to do."""
+
+
+class DiskError(StorageError):
+    """The disk refused an operation; what it holds is still good."""
--- /dev/null
+++ b/tests/platform/test_full_disk.py
@@ -0,0 +1,103 @@
+"""A control process of the platform whose disk refuses writes for a while."""
+
+import asyncio
+import errno
+import functools
+import pathlib
+import typing
+
+from adapter import programs
+import pytest
+
+from godwitstall.consensus import storage
+from godwitstall.control import process as process_module
+from godwitstall import errors
+from godwitstall import messages
+from godwitstall import settings
+from loadtool import addresses
+
+_WAIT_S = 20.0
+
+
+class _FullDisk:
+    """Lets a function of the storage fail for the first calls."""
+
+    def __init__(self, function: typing.Any, failures: int) -> None:
+        self.function = function
+        self.failures = failures
+        self.calls = 0
+
+    def __call__(self, *arguments: typing.Any) -> typing.Any:
+        self.calls += 1
+        if self.calls <= self.failures:
+            raise OSError(errno.ENOSPC, 'No space left on device')
+        return self.function(*arguments)
+
+
+def _options(root: pathlib.Path) -> settings.ControlOptions:
+    return settings.ControlOptions(
+        slot=messages.SlotId('c0'),
+        zone='z1',
+        region='r1',
+        admin_address=addresses.free_address(),
+        data_folder=str(root / 'c0'),
+        link_address=addresses.free_address(),
+        formats_empty_disk=True,
+        is_new_fleet=True,
+    )
+
+
+@pytest.mark.parametrize('function', ['format_if_empty', 'write_vote'])
+def test_process_goes_on_when_the_disk_works_again(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch, function: str
+) -> None:
+    """Guards against a process that ends at each start on a full disk."""
+    full = _FullDisk(getattr(storage, function), 2)
+    monkeypatch.setattr(storage, function, full)
+    monkeypatch.setattr(process_module, '_DISK_RETRY_S', 0.01)
+
+    async def scenario() -> None:
+        options = _options(tmp_path)
+        fleet = settings.FleetOptions(
+            'tests', seeds=[options.link_address], is_without_secret=True
+        )
+        wanted = asyncio.Event()
+        run = asyncio.create_task(
+            process_module.repeat_while_disk_fails(
+                functools.partial(
+                    programs._run_control, fleet, options, wanted
+                ),
+                wanted,
+            )
+        )
+        host, _, port = options.admin_address.rpartition(':')
+        async with asyncio.timeout(_WAIT_S):
+            while full.calls <= 2 or not await _is_listening(host, int(port)):
+                assert not run.done()
+                await asyncio.sleep(0.02)
+            wanted.set()
+            await run
+
+    asyncio.run(scenario())
+
+
+async def _is_listening(host: str, port: int) -> bool:
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
+def test_corrupt_disk_ends_the_process() -> None:
+    """Guards against a start that is tried for ever on a wrong disk."""
+
+    async def run() -> None:
+        raise errors.StorageError('The disk belongs to another fleet.')
+
+    async def scenario() -> None:
+        with pytest.raises(errors.StorageError):
+            await process_module.repeat_while_disk_fails(run, asyncio.Event())
+
+    asyncio.run(scenario())
