--- a/tests/consensus/test_discovery.py
+++ b/tests/consensus/test_discovery.py
@@ -11,7 +11,7 @@
 _SEEDS = 3
 
 
-class _SeedFleet(fleets.Fleet):
+class SeedFleet(fleets.Fleet):
     """Replicas that know the addresses of three others at most."""
 
     def __init__(
@@ -59,7 +59,7 @@
 
 def test_all_replicas_become_voters(tmp_path: pathlib.Path) -> None:
     """Guards against a fleet of the seeds alone, which bears one loss."""
-    fleet = _SeedFleet(tmp_path, 5)
+    fleet = SeedFleet(tmp_path, 5)
 
     async def scenario(_: fleets.Fleet) -> None:
         await fleet.start()
@@ -72,7 +72,7 @@
 
 def test_start_in_any_order_forms_one_fleet(tmp_path: pathlib.Path) -> None:
     """Guards against a second fleet when the lowest seed comes last."""
-    fleet = _SeedFleet(tmp_path, 5)
+    fleet = SeedFleet(tmp_path, 5)
 
     async def scenario(_: fleets.Fleet) -> None:
         founder = min(fleet.slots[:_SEEDS], key=lambda s: fleet.addresses[s])
@@ -91,7 +91,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against voters that are gone for good and still count."""
-    fleet = _SeedFleet(tmp_path, 5)
+    fleet = SeedFleet(tmp_path, 5)
 
     async def scenario(_: fleets.Fleet) -> None:
         await fleet.start()
@@ -116,7 +116,7 @@
     tmp_path: pathlib.Path,
 ) -> None:
     """Guards against an acknowledged entry that two disks alone held."""
-    fleet = _SeedFleet(tmp_path, 5)
+    fleet = SeedFleet(tmp_path, 5)
 
     async def scenario(_: fleets.Fleet) -> None:
         await fleet.start()
