--- a/tests/consensus/test_random_losses.py
+++ b/tests/consensus/test_random_losses.py
@@ -45,9 +45,9 @@
         # Replicas that were replaced.
         self.gone: list[messages.SlotId] = []
 
-    async def run(self, _: fleets.Fleet) -> None:
+    async def run(self, fleet: fleets.Fleet) -> None:
         """Play all rounds."""
-        await self.fleet.start()
+        await fleet.start()
         await self.fleet.have_voters(*self.fleet.slots)
         for _ in range(_ROUNDS):
             await self._round()
