Take back that overdue answers are given up for another try

A request that reached an entry after its SIGTERM at 7.0 s was given up at 8.9 s, half a second after its upstream began to work on it; no other member took it, and the caller got a 504 of our own.

Ruled out: giving up only by the route's usual time and only for a member with room (both were built); the second try can still be refused between the look and the send. Not giving up while a node stops: the owner does not know that the entry stops. A second send beside the first would keep the answer; it is the next thing to try.

Change: the give-up, its error kind and its tests are gone. Overdue requests still hold no slot while others wait.

--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -63,7 +63,6 @@
     NOT_ADMITTED = 32
     BAD_MESSAGE = 33
     CHAIN_OVERLOADED = 34
-    ANSWER_OVERDUE = 35
 
     @property
     def label(self) -> str:
@@ -154,9 +153,6 @@
     ErrorKind.UPSTREAM_TIMEOUT: AnswerRule(
         504, _UNKNOWN, False, 'The upstream did not answer in time.'
     ),
-    ErrorKind.ANSWER_OVERDUE: AnswerRule(
-        504, _UNKNOWN, True, 'The answer took many times as long as usual.'
-    ),
     ErrorKind.PEER_LOST: AnswerRule(
         502, _UNKNOWN, True, 'The link to the owner node broke.'
     ),
--- a/godwitstall/limits/overdue.py
+++ b/godwitstall/limits/overdue.py
@@ -18,7 +18,7 @@
 # Times the usual duration, and at least this long, seconds, after which a
 # request counts as overdue.
 _FACTOR = 8.0
-MIN_S = 0.25
+_MIN_S = 0.25
 
 # Weight of one answer in the moving average of the duration.
 _WEIGHT = 0.05
@@ -68,4 +68,4 @@
         usual_s = self.usual_s.get(waited.route)
         if usual_s is None or now - self.answered_at > _PROGRESS_S:
             return False
-        return waited.own_s > max(usual_s * _FACTOR, MIN_S)
+        return waited.own_s > max(usual_s * _FACTOR, _MIN_S)
--- a/godwitstall/limits/retry_budget.py
+++ b/godwitstall/limits/retry_budget.py
@@ -35,17 +35,14 @@
 
         part is the share of the budget that may be in use after it.
         """
-        if not self.has_room(now, part):
+        self._advance(now)
+        allowed = max(self.ratio * sum(self._calls), self.min_per_s * WINDOW_S)
+        allowed *= part
+        if sum(self._retries) + 1 > allowed:
             return False
         self._retries[self._second % WINDOW_S] += 1
         return True
 
-    def has_room(self, now: float, part: float = 1.0) -> bool:
-        """Return whether try_retry() would allow a retry."""
-        self._advance(now)
-        allowed = max(self.ratio * sum(self._calls), self.min_per_s * WINDOW_S)
-        return sum(self._retries) + 1 <= allowed * part
-
     def _advance(self, now: float) -> None:
         second = int(now)
         for passed in range(
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -213,8 +213,6 @@
     order: int = 0
     # A chain that has begun needs this call.
     is_onward: bool = False
-    # Another owner can be asked, so an overdue answer need not be waited for.
-    may_move: bool = False
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -441,7 +441,6 @@
                 deadline,
                 call.host,
                 call.request_id,
-                self._patience(call, entry),
             )
         except errors.RequestError as e:
             is_refused = isinstance(e.__cause__, ConnectionRefusedError)
@@ -461,20 +460,6 @@
             return _Dispatched(errors.ErrorKind.UPSTREAM_SHED, answer, '')
         return _Dispatched(errors.ErrorKind.NONE, answer, '')
 
-    def _patience(
-        self, call: messages.Call, entry: context.Running
-    ) -> upstream_client.Patience | None:
-        if not call.may_move:
-            return None
-
-        def is_overdue() -> bool:
-            now = clock.now()
-            return not entry.onward_calls and self.overdue_watch.is_overdue(
-                _waited(entry, now), now
-            )
-
-        return upstream_client.Patience(overdue_module.MIN_S, is_overdue)
-
     def _learn(
         self, outcome: _Dispatched, entry: context.Running, now: float
     ) -> None:
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -61,7 +61,6 @@
         errors.ErrorKind.UPSTREAM_SHED,
         errors.ErrorKind.UPSTREAM_LOST,
         errors.ErrorKind.ANSWER_CUT,
-        errors.ErrorKind.ANSWER_OVERDUE,
     )
 )
 
@@ -137,13 +136,6 @@
             if member is None:
                 break
             call.attempts = min(max(1, route.dispatch_attempts), left)
-            call.may_move = (
-                left > 1
-                and self._may_send_again(call, budget)
-                and self.picker.has_room_elsewhere(
-                    call.service, excluded, member.node_id, clock.now()
-                )
-            )
             former = answer
             answer = await self._send_once(member, call, deadline)
             if former is not None and _is_worse(answer, former):
@@ -212,16 +204,6 @@
             and not answer.is_final
         )
 
-    def _may_send_again(
-        self, call: messages.Call, budget: retry_budget.RetryBudget
-    ) -> bool:
-        """Return whether a call could be sent again if its answer is lost."""
-        return (
-            self.policy.retries_failures
-            and call.is_idempotent
-            and budget.has_room(clock.now(), self._budget_part(call))
-        )
-
     def _budget_part(self, call: messages.Call) -> float:
         if call.priority is messages.Priority.PAYMENT:
             return 1.0
--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -16,7 +16,6 @@
 """
 
 import asyncio
-import collections.abc
 import dataclasses
 import re
 import typing
@@ -65,16 +64,6 @@
     ends_with_connection: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Patience:
-    """When the answer to one request is no longer waited for."""
-
-    # Time to the first question, and between two, seconds.
-    interval_s: float
-    # Asked then; True gives the answer up.
-    is_overdue: collections.abc.Callable[[], bool]
-
-
 @dataclasses.dataclass(slots=True)
 class UpstreamAnswer:
     """A whole answer."""
@@ -113,8 +102,6 @@
         self.has_headers = False
         self.body = bytearray()
         self.parser: typing.Any = None
-        # Next question whether the answer is overdue.
-        self.watcher: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
@@ -194,27 +181,6 @@
         self.transport.write(request)
         return self.waiter
 
-    def watch(self, patience: Patience) -> None:
-        """Give the answer up when it is overdue before it has begun."""
-        loop = asyncio.get_running_loop()
-        self.watcher = loop.call_later(
-            patience.interval_s, self._look, patience
-        )
-
-    def _look(self, patience: Patience) -> None:
-        if self.has_answer_bytes:
-            return
-        if patience.is_overdue():
-            self._fail(errors.ErrorKind.ANSWER_OVERDUE)
-        else:
-            self.watch(patience)
-
-    def end_watch(self) -> None:
-        """Ask no further question."""
-        if self.watcher is not None:
-            self.watcher.cancel()
-            self.watcher = None
-
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -327,14 +293,12 @@
         deadline: float,
         host: bytes = b'',
         echo: bytes = b'',
-        patience: Patience | None = None,
     ) -> UpstreamAnswer:
         """Send one request and return its whole answer.
 
         host is the Host header, by default the address; echo is the id that
         the answer gives back, if it gives one. deadline is in seconds of
-        clock.now(). With patience, the answer may be given up sooner, as
-        ANSWER_OVERDUE. Errors: RequestError of kind UPSTREAM_UNREACHABLE when
+        clock.now(). Errors: RequestError of kind UPSTREAM_UNREACHABLE when
         nothing was sent; UPSTREAM_LOST, ANSWER_CUT, ANSWER_TOO_LARGE or
         UPSTREAM_TIMEOUT after that. A cancellation closes the connection,
         which tells the upstream.
@@ -356,13 +320,10 @@
                 connection._fail,
                 errors.ErrorKind.UPSTREAM_TIMEOUT,
             )
-            if patience is not None:
-                connection.watch(patience)
             try:
                 answer = await future
             finally:
                 timer.cancel()
-                connection.end_watch()
             is_whole = True
             return answer
         finally:
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -102,22 +102,6 @@
         margin = self.score(best_near, now) - self.score(best_far, now)
         return best_near if margin <= ZONE_MARGIN else best_far
 
-    def has_room_elsewhere(
-        self,
-        service: str,
-        excluded: set[messages.NodeId],
-        chosen: messages.NodeId,
-        now: float,
-    ) -> bool:
-        """Return whether a member besides chosen would run a call at once."""
-        return any(
-            member.node_id != chosen
-            and self._is_free(member, excluded, now)
-            and self._has_room(member, now)
-            for members in self._candidates(service)
-            for member in members
-        )
-
     def on_dispatch(self, node_id: messages.NodeId) -> None:
         """Count a call that is sent to a member."""
         self._load(node_id).outstanding += 1
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -26,25 +26,17 @@
     def __init__(self, kinds: list[errors.ErrorKind]) -> None:
         self.kinds = list(kinds)
         self.calls: list[messages.Call] = []
-        # Whether each call could go elsewhere when it was sent.
-        self.may_move: list[bool] = []
 
     async def call(self, address: str, call: messages.Call) -> messages.Answer:
         kind = self.kinds.pop(0)
         rule = errors.ANSWERS[kind]
         self.calls.append(call)
-        self.may_move.append(call.may_move)
         return messages.Answer(
             kind=kind, outcome=rule.outcome, status=rule.status
         )
 
 
-def _send(
-    owners: _Owners,
-    members: int = 3,
-    is_idempotent: bool = True,
-    attempts: int = 3,
-) -> messages.Answer:
+def _send(owners: _Owners) -> messages.Answer:
     view = view_module.View()
     picker = picker_module.Picker(view, 'z1', random.Random(3))
     view.apply(
@@ -59,7 +51,7 @@
                     state=messages.UpstreamState.READY,
                     slots=10,
                 )
-                for number in range(members)
+                for number in range(3)
             ],
         )
     )
@@ -77,12 +69,12 @@
     forwarder: typing.Any = owners
     owner: typing.Any = None
     relay = relay_module.Relay(options, picker, forwarder, owner, _POLICY)
-    call = messages.Call(service=_SERVICE, is_idempotent=is_idempotent)
+    call = messages.Call(service=_SERVICE, is_idempotent=True)
     return asyncio.run(
         relay.send(
             call,
             messages.Route('r', service=_SERVICE),
-            attempts,
+            3,
             clock.now() + 5,
             lambda _: True,
         )
@@ -122,16 +114,3 @@
     owners = _Owners([errors.ErrorKind.UPSTREAM_LOST, errors.ErrorKind.NONE])
     assert _send(owners).kind is errors.ErrorKind.NONE
     assert len(owners.calls) == 2
-
-
-@pytest.mark.parametrize(
-    'members,is_idempotent,may_move',
-    [(3, True, [True, False]), (1, True, [False]), (3, False, [False])],
-)
-def test_answer_is_given_up_only_for_another_try(
-    members: int, is_idempotent: bool, may_move: list[bool]
-) -> None:
-    """Guards against an error in place of an answer that may still come."""
-    owners = _Owners([errors.ErrorKind.ANSWER_OVERDUE, errors.ErrorKind.NONE])
-    _send(owners, members, is_idempotent, attempts=2)
-    assert owners.may_move == may_move
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -353,19 +353,6 @@
         assert chosen is not None and chosen.node_id == wanted
 
 
-@pytest.mark.parametrize(
-    'near,far,wanted', [(3, 5, True), (3, 10, False), (10, 5, True)]
-)
-def test_room_elsewhere(near: int, far: int, wanted: bool) -> None:
-    """Guards against an answer given up for a member that is full."""
-    chooser = _zones_with_load(near, far)
-    first = messages.NodeId('n1')
-    found = chooser.has_room_elsewhere(_SERVICE, set(), first, 0.0)
-    assert found is wanted
-    excluded = {messages.NodeId('n2')}
-    assert not chooser.has_room_elsewhere(_SERVICE, excluded, first, 0.0)
-
-
 def test_failing_member_with_room_is_left() -> None:
     """Guards against a near member that fails calls and so is never full.
 
