Give replaced replicas the seeds that the operator has then

Cause: the play of forty seeds of the random losses failed with seed 29: three machines were replaced, all of them the seeds of the first start, and the last spare was given their old addresses. It could find nobody, nor could anybody find it; four reruns gave the same. The settings of a machine are written at its start and name machines of that moment, so the case does not come.

Ruled out: that the running replicas look for spares themselves; they are told of nobody.

Change: the play writes the seeds anew when a machine is replaced. Checks and seeds are as before.

--- a/tests/consensus/test_discovery.py
+++ b/tests/consensus/test_discovery.py
@@ -19,11 +19,7 @@
     ) -> None:
         super().__init__(root, size, **options)
         self.addresses = dict(self.settings.control)
-        self.settings = settings.FleetOptions(
-            'test',
-            seeds=list(self.addresses.values())[:_SEEDS],
-            is_without_secret=True,
-        )
+        self.seed_from(self.slots)
 
     async def start(self, *slots: messages.SlotId) -> None:
         for slot in slots or self.slots:
@@ -36,6 +32,14 @@
                 member.serve, host, int(port)
             )
 
+    def seed_from(self, slots: list[messages.SlotId]) -> None:
+        """Give the first of slots as seeds to what starts from now on."""
+        self.settings = settings.FleetOptions(
+            'test',
+            seeds=[self.addresses[slot] for slot in slots[:_SEEDS]],
+            is_without_secret=True,
+        )
+
     def add(self, name: str) -> messages.SlotId:
         """Return the slot of a new machine with an empty disk."""
         slot = messages.SlotId(name)
--- a/tests/consensus/test_random_losses.py
+++ b/tests/consensus/test_random_losses.py
@@ -88,6 +88,9 @@
                 await self.fleet.start(slot)
             case _Loss.REPLACE:
                 self.gone.append(slot)
+                # Settings are written at each start and name machines that
+                # the operator has then.
+                self.fleet.seed_from(self.fleet.others(*self.gone))
                 spare = self.fleet.add(f's{len(self.gone)}')
                 await self.fleet.start(spare)
             case _:
