Revert "Tell refused calls of a workspace to come back one after the other"

Callers honour a time to come back up to a third of what they have left, so later times cost them tries, and the tokens go to others.

--- a/godwitstall/rates/allowance.py
+++ b/godwitstall/rates/allowance.py
@@ -78,8 +78,6 @@
     last: float = 0.0
     # Until when calls are refused without asking, seconds.
     refused_until: float = 0.0
-    # When the ledger told refused calls to come back, seconds.
-    come_back_at: float = 0.0
 
 
 class Allowance:
@@ -123,7 +121,7 @@
             self._take_share(self.share, workspace, now)
             return
         if now < purse.refused_until:
-            raise _refusal(workspace, purse.come_back_at - now)
+            raise _refusal(workspace, purse.refused_until - now)
         loop = asyncio.get_running_loop()
         waiter = _Waiter(loop.create_future())
         purse.waiters.append(waiter)
@@ -231,7 +229,6 @@
             pause_s = min(grant.retry_after_ms / 1000, _MAX_PAUSE_S)
             purse.refused_until = now + pause_s
             refusal_s = grant.retry_after_ms / 1000
-            purse.come_back_at = now + refusal_s
             while purse.waiters and purse.waiters[0].is_asked:
                 waiter = purse.waiters.popleft()
                 _fail(waiter.future, _refusal(grant.workspace, refusal_s))
--- a/godwitstall/rates/ledger.py
+++ b/godwitstall/rates/ledger.py
@@ -50,10 +50,6 @@
 # Longest time for which requests count in the fair shares, seconds.
 _MAX_MEMORY_S = 10.0
 
-# Longest time to come back because of calls that were refused before, seconds.
-# Many of them never come back.
-_MAX_PROMISE_S = 2.0
-
 # Longest time to come back that is told, milliseconds.
 _MAX_RETRY_MS = 60_000
 
@@ -114,8 +110,6 @@
         self.settled_at = 0.0
         # Tokens that nodes may still spend.
         self.outstanding = 0
-        # When the calls refused so far find tokens, seconds.
-        self.promised_at = 0.0
         # By node id and incarnation.
         self.holders: dict[tuple[str, int], _Holder] = {}
         # All grants in order of expiry.
@@ -205,9 +199,7 @@
             self.share += tokens
             self.outstanding += tokens
             self.level -= tokens
-        return messages.Grant(
-            want.workspace, tokens, self._retry_ms(unmet, now)
-        )
+        return messages.Grant(want.workspace, tokens, self._retry_ms(unmet))
 
     def _settle(self, holder: _Holder, want: messages.Want) -> None:
         """Take over what a request says of its node's tokens."""
@@ -266,19 +258,11 @@
             )
         )
 
-    def _retry_ms(self, unmet: int, now: float) -> int:
-        """Return when refused calls find tokens, after those told before.
-
-        Callers of one node that came back after its own unmet calls alone
-        would meet those of all others and be refused again.
-        """
+    def _retry_ms(self, unmet: int) -> int:
         if not unmet:
             return 0
-        wait_s = unmet / max(self.rate, 1e-9)
-        queued_s = max(self.promised_at - now, 0.0) + wait_s
-        self.promised_at = now + min(queued_s, _MAX_PROMISE_S)
-        told_s = max(wait_s, self.promised_at - now)
-        return max(math.ceil(min(told_s * 1000, _MAX_RETRY_MS)), 1)
+        wait_ms = 1000 * unmet / max(self.rate, 1e-9)
+        return max(math.ceil(min(wait_ms, _MAX_RETRY_MS)), 1)
 
 
 class Ledger:
