Let the scripted peer of a test give signs of life

Forwarder.watch gives a link up after 1.2 s without an answer, and the scripted peer never answered the question for a sign of life. A delay of 1.8 s in the test gave the failure each time.

Ruled out: a fault of the product; a real peer answers the question (peer_server.py).

Change: the scripted peer answers it too. The checks are as before. With the delay of 1.8 s the test passes now; the delay is not kept.

--- a/tests/node/test_whole_answers.py
+++ b/tests/node/test_whole_answers.py
@@ -308,6 +308,9 @@
         async def handle(message: messages.Message) -> None:
             if isinstance(message, messages.Call):
                 self.calls.append(message)
+            elif message == messages.Cancel(0):
+                # Asked for a sign of life, as every peer is.
+                link.send(messages.Answer(0))
 
         await link.run(handle)
 
