Cut answers of an upstream whose bytes come without an end

Cause: the parser reports a status line, a header line, a chunk extension or a trailer only at its end, so that such bytes were read and partly kept until the deadline of the call. Each body was bounded at 8 MiB, but not all bodies of a node together: 20 slots filled 160 MB of the 200 MB that a node has.

Ruled out: a bound on the time alone. The deadline of a call can be 15 s, and a slot and the memory are held until then.

Change: bytes outside of a body are bounded by 128 KiB and eight a byte of body, bodies that pass 8 MiB without an announced length are cut, all bodies of one client together are bounded by 32 MiB (the longest is cut), and a length above the bound is refused at its header.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -34,6 +34,10 @@
     'upstream_stray_bytes_total',
     'Connections closed because of bytes that no request waited for.',
 )
+_ENDLESS = metrics.counter(
+    'upstream_endless_answers_total',
+    'Answers cut because their bytes came without an end.',
+)
 
 # Idle connections older than this are not used again: many HTTP servers
 # close after 5 s, and a request sent into a closing connection is lost.
@@ -43,6 +47,14 @@
 # another node is bounded, and one that is too long ends the whole link.
 MAX_HEADER_BYTES = 64 * 1024
 
+# Bytes around a body for each byte of it. A chunk of one byte has five.
+_FRAMING_BYTES = 8
+
+# Bodies that are being collected for all requests together, bytes. An upstream
+# that sends without an end on many connections must not fill the memory of
+# the node, which the platform bounds at 200 MB.
+MAX_COLLECTED_BYTES = 32 * 1024 * 1024
+
 # Share of the idle time that an upstream promises which is used; the rest is
 # for the way there and for timers that fire late.
 _IDLE_SHARE = 0.8
@@ -79,9 +91,15 @@
 class _Connection(asyncio.Protocol):
     """One connection; collects the answer to the request that it carries."""
 
-    def __init__(self, max_answer_bytes: int, framing: Framing) -> None:
+    def __init__(
+        self,
+        max_answer_bytes: int,
+        framing: Framing,
+        collected: '_Collected',
+    ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self.framing = framing
+        self.collected = collected
         # Id that the answer must give back; empty when any will do.
         self.echo = b''
         # Time that the connection may be idle, seconds.
@@ -101,6 +119,9 @@
         # Whether the header section has ended; trailers come after it.
         self.has_headers = False
         self.body = bytearray()
+        # Bytes received since the request, and those of them in bodies.
+        self.received_bytes = 0
+        self.received_body_bytes = 0
         self.parser: typing.Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -122,6 +143,7 @@
             self.close()
             return
         self.has_answer_bytes = True
+        self.received_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (
@@ -133,6 +155,28 @@
             # was complete; the first is whole and stands.
             if not self.waiter.done():
                 self._fail(errors.ErrorKind.ANSWER_CUT, f'Bad answer: {e}.')
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Cut an answer whose bytes outside of a body do not end.
+
+        The parser reports a header line, a chunk extension or a trailer only
+        at its end, and keeps what it has of a line until then.
+        """
+        others = self.received_bytes - self.received_body_bytes
+        bound = 2 * MAX_HEADER_BYTES
+        if others > bound + _FRAMING_BYTES * self.received_body_bytes:
+            self.cut_endless()
+
+    def cut_endless(self) -> None:
+        """Give up an answer whose bytes come without an end."""
+        if self.waiter is None or self.waiter.done():
+            return
+        _ENDLESS.inc()
+        self._fail(
+            errors.ErrorKind.ANSWER_CUT, 'The answer came without an end.'
+        )
+        self.close()
 
     def _is_unframed(self) -> bool:
         """Return whether the end of the connection ends the answer."""
@@ -176,6 +220,8 @@
         self.has_headers = False
         self.parser = httptools.HttpResponseParser(self)
         self.has_answer_bytes = False
+        self.received_bytes = 0
+        self.received_body_bytes = 0
         self.is_head = is_head
         self.waiter = asyncio.get_running_loop().create_future()
         self.transport.write(request)
@@ -193,6 +239,10 @@
         self.answer_headers = []
         self.header_bytes = 0
         self.has_headers = False
+        self._drop_body()
+
+    def _drop_body(self) -> None:
+        self.collected.size -= len(self.body)
         self.body = bytearray()
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -202,17 +252,17 @@
             return
         self.header_bytes += len(name) + len(value)
         if self.header_bytes > MAX_HEADER_BYTES:
-            self._fail(
-                errors.ErrorKind.ANSWER_TOO_LARGE,
-                'The headers of the answer are larger than allowed.',
-            )
-            self.close()
+            self.cut_endless()
             return
         self.answer_headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         self.has_headers = True
         self.status = self.parser.get_status_code()
+        if self._announced_bytes() > self.max_answer_bytes:
+            self._fail(errors.ErrorKind.ANSWER_TOO_LARGE)
+            self.close()
+            return
         if self.is_head and self.status >= _FIRST_FINAL_STATUS:
             # The parser cannot know that no body follows.
             self.is_reusable = False
@@ -221,10 +271,23 @@
     def on_body(self, body: bytes) -> None:
         if self.waiter is None or self.waiter.done():
             return
+        self.received_body_bytes += len(body)
+        # Late answers to other requests may come before the own one.
+        if (
+            len(self.body) + len(body) > self.max_answer_bytes
+            or self.received_body_bytes > 2 * self.max_answer_bytes
+        ):
+            self.cut_endless()
+            return
         self.body += body
-        if len(self.body) > self.max_answer_bytes:
-            self._fail(errors.ErrorKind.ANSWER_TOO_LARGE)
-            self.close()
+        self.collected.add(len(body))
+
+    def _announced_bytes(self) -> int:
+        """Return the length of the body that the header tells, 0 if none."""
+        if self.is_head or self.status in _BODILESS:
+            return 0
+        length = find_header(self.answer_headers, b'content-length')
+        return int(length) if length and length.isdigit() else 0
 
     def on_message_complete(self) -> None:
         if self.status < _FIRST_FINAL_STATUS:
@@ -258,6 +321,30 @@
                 )
             )
 
+    def forget_answer(self) -> None:
+        """Free the memory of an answer that was taken or given up."""
+        self.answer_headers = []
+        self._drop_body()
+
+
+class _Collected:
+    """Bytes of bodies that the connections of one client hold."""
+
+    def __init__(self, connections: set[_Connection]) -> None:
+        # Connections with a request on them.
+        self.connections = connections
+        # Bytes held now.
+        self.size = 0
+
+    def add(self, size: int) -> None:
+        """Count bytes; above the bound the longest body is given up."""
+        self.size += size
+        if self.size <= MAX_COLLECTED_BYTES:
+            return
+        open_answers = [c for c in self.connections if not c.is_closed]
+        if open_answers:
+            max(open_answers, key=lambda c: len(c.body)).cut_endless()
+
 
 class UpstreamClient:
     """Connections to one upstream process."""
@@ -281,6 +368,7 @@
         self.idle: list[_Connection] = []
         # Connections with a request on them.
         self.busy: set[_Connection] = set()
+        self.collected = _Collected(self.busy)
         # Connections that are being opened for a request.
         self.opening = 0
 
@@ -328,6 +416,7 @@
             return answer
         finally:
             self.busy.discard(connection)
+            connection.forget_answer()
             if is_whole and connection.is_reusable:
                 self._put_back(connection)
             else:
@@ -358,7 +447,9 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self.max_answer_bytes, self.framing),
+                    lambda: _Connection(
+                        self.max_answer_bytes, self.framing, self.collected
+                    ),
                     self.host,
                     self.port,
                 )
