Let nodes use the control replica of their own zone

Cause: a node took control replicas in random order, so that four fifths of its heartbeats, token requests and pushed state crossed zones, and every change of replica cost a full state.

Ruled out: fewer heartbeats. A node whose replica is cut off must find out, move, and have the configuration within 2 s.

Change: replicas tell their zones when they introduce themselves; a node takes one of its own zone first and moves there when it learns of one (node/replica_choice.py). A first heartbeat says what the node has, and the session starts from there. Replicas introduce themselves every 5 s in place of every second once nobody is new.

--- a/godwitstall/consensus/discovery.py
+++ b/godwitstall/consensus/discovery.py
@@ -28,9 +28,13 @@
 _LOG = logs.get('discovery')
 
 # Time between two rounds of introductions, seconds: while replicas are
-# missing, and after that.
+# missing, while some are new, and after that.
 _SEARCH_INTERVAL_S = 0.25
-_STEADY_INTERVAL_S = 1.0
+_NEW_INTERVAL_S = 1.0
+_STEADY_INTERVAL_S = 5.0
+
+# A replica counts as new for this long, seconds.
+_NEW_S = 5.0
 
 # The founder waits this long after the last replica was met, seconds.
 _SETTLE_S = 0.75
@@ -54,6 +58,8 @@
         self.fleet = fleet
         # Replicas that said that they have an empty disk of a new fleet.
         self.initial: set[messages.SlotId] = set()
+        # Zones of the replicas that told theirs.
+        self.zones: dict[messages.SlotId, str] = {}
         # When the last replica was met, and when the search began, seconds.
         self.met_at = clock.now()
         self.began_at = clock.now()
@@ -92,7 +98,10 @@
     def to_voter(self) -> messages.Voter:
         """Return this replica as others know it."""
         return messages.Voter(
-            self.replica.slot, self.replica.disk.disk_id, self.own_address
+            self.replica.slot,
+            self.replica.disk.disk_id,
+            self.own_address,
+            self.replica.options.zone,
         )
 
     def on_introduce(self, request: messages.Introduce) -> messages.Directory:
@@ -117,11 +126,18 @@
             is_voter = peer.slot in self.replica.voters.current
             if is_voter or peer.link is not None:
                 known.append(
-                    messages.Voter(peer.slot, peer.disk_id, peer.address)
+                    messages.Voter(
+                        peer.slot,
+                        peer.disk_id,
+                        peer.address,
+                        self.zones.get(peer.slot, ''),
+                    )
                 )
         return known
 
     def _meet(self, found: messages.Voter) -> None:
+        if found.zone:
+            self.zones[found.slot] = found.zone
         if self.replica.meet(found.slot, found.address):
             self.met_at = clock.now()
 
@@ -133,10 +149,14 @@
         while True:
             await self._search()
             self._forget()
-            is_settled = self._is_formed() and not self._unmet_seeds()
-            await asyncio.sleep(
-                _STEADY_INTERVAL_S if is_settled else _SEARCH_INTERVAL_S
-            )
+            await asyncio.sleep(self._interval_s())
+
+    def _interval_s(self) -> float:
+        if not self._is_formed() or self._unmet_seeds():
+            return _SEARCH_INTERVAL_S
+        if clock.now() - self.met_at < _NEW_S:
+            return _NEW_INTERVAL_S
+        return _STEADY_INTERVAL_S
 
     def _unmet_seeds(self) -> list[str]:
         met = {peer.address for peer in self.replica.peers.values()}
@@ -201,6 +221,7 @@
             elif now - peer.linked_at > _FORGET_AFTER_S:
                 _LOG.info('Forgets replica %s.', peer.slot)
                 self.initial.discard(peer.slot)
+                self.zones.pop(peer.slot, None)
                 self.replica.forget(peer.slot)
 
 
--- a/godwitstall/control/sessions.py
+++ b/godwitstall/control/sessions.py
@@ -133,6 +133,9 @@
         session = self.open.get(link)
         if session is None:
             session = self.open[link] = Session(link)
+            if beat.applied_index:
+                # It comes from another replica and needs what changed since.
+                session.sent_index = beat.applied_index
         session.node_id = beat.node_id
         session.incarnation = beat.incarnation
         session.applied_index = beat.applied_index
--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -79,7 +79,9 @@
 struct Entry {
   index @0 :UInt64; term @1 :UInt64; timeMs @2 :UInt64; command @3 :Data;
 }
-struct Voter { slot @0 :Text; diskId @1 :Text; address @2 :Text; }
+struct Voter {
+  slot @0 :Text; diskId @1 :Text; address @2 :Text; zone @3 :Text;
+}
 struct VoteRequest {
   seq @0 :UInt64; term @1 :UInt64; slot @2 :Text; diskId @3 :Text;
   lastIndex @4 :UInt64; lastTerm @5 :UInt64; isPreVote @6 :Bool;
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -604,6 +604,8 @@
     disk_id: DiskId = DiskId('')
     # Host and port for links.
     address: str = ''
+    # Availability zone; empty when not known.
+    zone: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -19,6 +19,7 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import replica_choice
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
@@ -63,6 +64,10 @@
 _PROPOSE_TRY_S = 2.0
 
 
+class _NearerReplicaError(Exception):
+    """A session ends because a replica in the own zone should be used."""
+
+
 class ControlSession:
     """Connection of one node to control, with its lease."""
 
@@ -79,8 +84,9 @@
         self.identity = identity
         self.view = view
         self.allowance = allowance
-        # Control processes by slot, as last heard.
-        self.known: dict[str, str] = dict(fleet.control)
+        self.replicas = replica_choice.ReplicaChoice(
+            options.zone, fleet.control, fleet.seeds, random.Random()
+        )
         self.link: link_module.Link | None = None
         # Set while a session is open and has delivered its first state.
         self.connected = asyncio.Event()
@@ -111,30 +117,22 @@
             return self.view.index >= 0
         return self.is_fresh(now)
 
-    def _addresses(self) -> list[str]:
-        """Return where control processes are, in random order."""
-        found = list(self.known.values())
-        random.shuffle(found)
-        missing = [seed for seed in self.fleet.seeds if seed not in found]
-        random.shuffle(missing)
-        return found + missing
-
     async def run(self) -> None:
         """Keep a session open until cancelled."""
-        addresses = self._addresses()
         pause_s = _RECONNECT_MIN_S
-        turn = 0
         while True:
-            if turn >= len(addresses):
-                turn = 0
-                addresses = self._addresses()
-            address = addresses[turn]
-            turn += 1
             started = clock.now()
+            address = self.replicas.next(started)
             try:
                 await self._serve(address)
+            except _NearerReplicaError:
+                _LOG.info(
+                    'Session with %s ends for one in the own zone.', address
+                )
             except errors.GodwitstallError as e:
                 _LOG.info('Session with %s ended: %s', address, e)
+                now = clock.now()
+                self.replicas.on_end(address, now - started, now)
             finally:
                 self.connected.clear()
                 self.allowance.on_lost()
@@ -171,7 +169,7 @@
         grants = asyncio.create_task(self._ask_for_tokens(link))
         tasks = {reader, beats, grants}
         if self.fleet.seeds:
-            tasks.add(asyncio.create_task(self._find_replicas(link)))
+            tasks.add(asyncio.create_task(self._find_replicas(link, address)))
         try:
             done, _ = await asyncio.wait(
                 tasks, return_when=asyncio.FIRST_COMPLETED
@@ -184,16 +182,21 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _find_replicas(self, link: link_module.Link) -> None:
-        """Learn which replicas there are, for when this one is lost."""
+    async def _find_replicas(
+        self, link: link_module.Link, address: str
+    ) -> None:
+        """Learn which replicas there are, for when this one is lost.
+
+        Errors: _NearerReplicaError when one in the own zone is known.
+        """
         while True:
             reply = await link.request(
                 messages.Introduce(), self.options.lease_s / 2
             )
             if isinstance(reply, messages.Directory):
-                self.known = {
-                    voter.slot: voter.address for voter in reply.replicas
-                }
+                self.replicas.learn(reply.replicas)
+            if self.replicas.knows_nearer(address, clock.now()):
+                raise _NearerReplicaError()
             await asyncio.sleep(_DIRECTORY_INTERVAL_S)
 
     async def _on_push(self, message: messages.Message) -> None:
--- a/tests/consensus/test_discovery.py
+++ b/tests/consensus/test_discovery.py
@@ -142,3 +142,25 @@
         await fleet.have_voters(*fleet.slots)
 
     fleets.run(scenario, fleet)
+
+
+def test_zones_are_told_to_all(tmp_path: pathlib.Path) -> None:
+    """Guards against nodes that cannot tell which replica is near."""
+    fleet = SeedFleet(tmp_path, 5)
+
+    async def scenario(_: fleets.Fleet) -> None:
+        await fleet.start()
+        await fleet.have_voters(*fleet.slots)
+
+        def all_know() -> bool:
+            return all(
+                [voter.zone for voter in directory.replicas] == ['z'] * 5
+                for directory in (
+                    member.replica.discovery.on_introduce(messages.Introduce())
+                    for member in fleet.members.values()
+                )
+            )
+
+        await fleets.until(all_know)
+
+    fleets.run(scenario, fleet)
--- /dev/null
+++ b/tests/control/test_session_resume.py
@@ -0,0 +1,107 @@
+"""A node that changes its replica is sent what it lacks, not everything."""
+
+import asyncio
+import typing
+
+from godwitstall import codec
+from godwitstall.control import barrier as barriers
+from godwitstall.control import machine as machines
+from godwitstall.control import sessions as session_module
+from godwitstall import messages
+from godwitstall import settings
+
+_OPTIONS = settings.ControlOptions(
+    slot=messages.SlotId('c1'),
+    zone='z',
+    region='r',
+    admin_address='127.0.0.1:1',
+    data_folder='unused',
+)
+
+
+class _Link:
+    """Keeps what is sent."""
+
+    unsent_bytes = 0
+    is_closed = False
+
+    def __init__(self) -> None:
+        self.updates: list[messages.StateUpdate] = []
+
+    def send(self, message: messages.Message) -> None:
+        if isinstance(message, messages.StateUpdate):
+            self.updates.append(message)
+
+    def send_encoded(self, data: bytes) -> None:
+        self.send(codec.decode(data))
+
+
+class _Barrier:
+    """Confirms at once."""
+
+    async def wait(self, timeout_s: float) -> None:
+        return
+
+
+def _join(number: int) -> bytes:
+    return codec.encode(
+        messages.Join(
+            messages.Member(
+                node_id=messages.NodeId(f'n{number}'),
+                incarnation=1,
+                service=messages.ServiceName('siop'),
+                address=f'10.0.0.{number}:1',
+            )
+        )
+    )
+
+
+def _first_update(applied_index: int) -> messages.StateUpdate | None:
+    """Return what a new session gets whose node has applied_index."""
+    machine = machines.Machine.from_config(_OPTIONS)
+    for index in range(1, 41):
+        machine.apply(index, 1_700_000_000_000, _join(index))
+    barrier: typing.Any = _Barrier()
+    sessions = session_module.Sessions(
+        machine, typing.cast(barriers.Barrier, barrier)
+    )
+    link: typing.Any = _Link()
+
+    async def scenario() -> None:
+        session = sessions.on_heartbeat(
+            link,
+            messages.Heartbeat(
+                node_id=messages.NodeId('n1'),
+                incarnation=1,
+                applied_index=applied_index,
+            ),
+        )
+        assert session is not None
+        await sessions.confirm(session)
+
+    asyncio.run(scenario())
+    return link.updates[0] if link.updates else None
+
+
+def test_new_node_gets_everything() -> None:
+    """Guards against a node that takes a part of the state for all of it."""
+    update = _first_update(0)
+    assert update is not None and update.is_full
+    assert len(update.members) == 40
+
+
+def test_node_of_another_replica_gets_what_changed() -> None:
+    """Guards against full states for all nodes that change their replica."""
+    update = _first_update(37)
+    assert update is not None and not update.is_full
+    assert {member.node_id for member in update.members} == {
+        'n38',
+        'n39',
+        'n40',
+    }
+
+
+def test_node_that_lacks_nothing_gets_nothing() -> None:
+    """Guards against traffic for no change, and against a state going back."""
+    assert _first_update(40) is None
+    assert _first_update(99) is None
