Share the floor of the retry budget among the nodes of a fleet

Cause: each node might always send one retry of a service in five seconds.

Ruled out: rounding the shares down. At 196 nodes that is no retry at all.

Change: where a mesh counts each send, the floor is that of all nodes, and the part of a retry that a node may send is rounded by a draw every five seconds.

--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -45,6 +45,7 @@
     retries_failures=True,
     low_share=0.5,
     max_refusals=2,
+    shares_retry_floor=True,
 )
 
 
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import random
 import typing
 
 from godwitstall import clock
@@ -80,6 +81,9 @@
     # Part of the retry budget that calls below the highest priority may use.
     # The rest is for those that matter most.
     low_share: float = 1.0
+    # The retry floor is that of all nodes together, and parts of a retry are
+    # rounded by a draw.
+    shares_retry_floor: bool = False
     # Owners that may refuse a call before it is given up; 0 means all.
     max_refusals: int = 0
 
@@ -156,6 +160,8 @@
                 break
             if not is_admitted(call):
                 break
+            if self.policy.shares_retry_floor:
+                budget.nodes = max(self.picker.node_count(), 1)
             if is_sent and not budget.try_retry(now, self._budget_part(call)):
                 _NO_RETRY.inc(service=call.service)
                 break
@@ -237,7 +243,9 @@
         budget = self.budgets.get(service)
         if budget is None:
             budget = self.budgets[service] = retry_budget.RetryBudget(
-                self.options.retry_ratio, self.options.retry_min_per_s
+                self.options.retry_ratio,
+                self.options.retry_min_per_s,
+                random.Random() if self.policy.shares_retry_floor else None,
             )
         return budget
 
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -102,6 +102,10 @@
         margin = self.score(best_near, now) - self.score(best_far, now)
         return best_near if margin <= ZONE_MARGIN else best_far
 
+    def node_count(self) -> int:
+        """Return how many nodes the fleet has."""
+        return len(self._view.members)
+
     def on_dispatch(self, node_id: messages.NodeId) -> None:
         """Count a call that is sent to a member."""
         self._load(node_id).outstanding += 1
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -119,7 +119,8 @@
     warmup_s: float = 10.0
     # Retries allowed for each call of a service, 0 to 1.
     retry_ratio: float = 0.1
-    # Retries a second that a service may always have.
+    # Retries a second that a service may always have: from each node, or
+    # from all together where the mesh counts each send.
     retry_min_per_s: float = 1.0
     # Silence after which an announcement ends, seconds.
     announce_timeout_s: float = 3.0
