Answer what a node accepts in the last moment of a planned stop

Cause: after a quiet time a stopping node closed its listener. The close takes two turns of the event loop, and a request that was read in them was cut without an answer. The same gap was at the end of Listener.finish(), which control processes use.

Ruled out: a longer quiet time, which leaves the gap where it is.

Change: finish() closes each connection in the turn in which it is seen to owe nothing, and waits for the others; the node ends with finish().

Before: test_request_in_the_last_moment_is_answered_or_not_read fails (the second request is handled and cut). After: it passes, with the tests of the listener, of planned stops and of the whole path.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -429,9 +429,14 @@
         end = clock.now() + timeout_s
         # Connections that were accepted just now have not been read yet.
         await asyncio.sleep(_LAST_READ_S)
-        while clock.now() < end and any(
-            connection.is_owing() for connection in self.connections
-        ):
+        while True:
+            # Closed in the turn in which it is seen to owe nothing, so that
+            # no request is read between the look and the close.
+            for connection in list(self.connections):
+                if not connection.is_owing():
+                    connection.transport.close()
+            if not self.connections or clock.now() >= end:
+                break
             await asyncio.sleep(_FINISH_POLL_S)
         await self.close()
 
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -24,6 +24,9 @@
 
 _POLL_S = 0.02
 
+# Time for requests that came at the end of a planned stop, seconds.
+_LAST_ANSWERS_S = 0.2
+
 # Time without any request after which a stopping node ends, seconds.
 _QUIET_S = 0.3
 
@@ -122,7 +125,8 @@
             if clock.now() - quiet_since > _QUIET_S:
                 break
             await asyncio.sleep(_POLL_S)
-        await self.listener.close()
+        # What was accepted in the last moment is answered too.
+        await self.listener.finish(max(end - clock.now(), _LAST_ANSWERS_S))
         await self.stop_parts()
 
     def dump(self) -> dict[str, typing.Any]:
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -228,3 +228,44 @@
             )
 
     asyncio.run(scenario())
+
+
+def test_request_in_the_last_moment_is_answered_or_not_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a planned stop that cuts what it has just accepted."""
+    handled: list[str] = []
+
+    async def handler(
+        request: http_listener.Request,
+    ) -> http_listener.Response:
+        handled.append(request.target)
+        await asyncio.sleep(0.05)
+        return http_listener.Response(200, [], b'done')
+
+    async def scenario() -> None:
+        async with _listening(handler) as (listener, address):
+            reader, writer = await _connect(address)
+            writer.write(b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n')
+            await reader.readuntil(b'done')
+            stop_listening = listener._stop_listening
+            calls = 0
+
+            async def send_meanwhile() -> None:
+                nonlocal calls
+                calls += 1
+                if calls == 2:
+                    # The stop has looked for what is owed, and now closes.
+                    writer.write(b'GET /2 HTTP/1.1\r\nhost: a\r\n\r\n')
+                    await asyncio.sleep(0.02)
+                await stop_listening()
+
+            monkeypatch.setattr(listener, '_stop_listening', send_meanwhile)
+            await listener.finish(_WAIT_S)
+            with contextlib.suppress(ConnectionResetError):
+                rest = await reader.read()
+                assert rest.count(b'done') == len(handled) - 1
+            assert handled == ['/1']
+            writer.close()
+
+    asyncio.run(scenario())
