Start lasting tasks again after an unexpected error

Cause: an unexpected error in a task of a node stopped the node, and one in a task of a control process ended that task for good, so that the process went on without pushing state or without confirming heartbeats.

Ruled out: ending the control process as well; a replica that restarts for each such error is no better off than one whose task starts again.

After: test_supervision.py passes, and tests/base, tests/control and tests/node/test_path.py.

--- a/godwitstall/control/barrier.py
+++ b/godwitstall/control/barrier.py
@@ -51,6 +51,7 @@
 
         Those that wait then get an error at once.
         """
+        self.is_ended = False
         try:
             while True:
                 await self.wanted.wait()
--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -23,6 +23,7 @@
 from godwitstall import messages
 from godwitstall import metrics
 from godwitstall import settings
+from godwitstall import supervision
 
 _LOG = logs.get('control')
 _REQUESTS = metrics.counter(
@@ -73,11 +74,11 @@
         """Listen on 'host:port' and start the tasks."""
         await self.listen(address)
         for work in (
-            self.barrier.run(),
-            self.sessions.run(),
-            self.leadership.run(),
+            self.barrier.run,
+            self.sessions.run,
+            self.leadership.run,
         ):
-            self._spawn(work)
+            self._spawn(supervision.keep_running(work))
 
     def _spawn(
         self, work: collections.abc.Coroutine[None, None, None]
--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections.abc
 import random
 import typing
 
@@ -29,6 +28,7 @@
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
+from godwitstall import supervision
 
 _LOG = logs.get('node')
 
@@ -102,7 +102,7 @@
         )
         self.peers = peer_server.PeerServer(identity, self.owner)
         self.tasks: list[asyncio.Task[None]] = []
-        # Set by a signal, or when a task of the node has failed.
+        # Set by a signal.
         self.stop_wanted = asyncio.Event()
         self.view.on_change.append(self._on_view_change)
 
@@ -117,25 +117,17 @@
         """Listen for other nodes and start the tasks."""
         await self.peers.listen(self.options.link_address)
         for work in (
-            self.session.run(),
-            self.upstream.run(),
-            self.owner.run(),
-            self.membership.run(),
-            self.forwarder.run(),
+            self.session.run,
+            self.upstream.run,
+            self.owner.run,
+            self.membership.run,
+            self.forwarder.run,
         ):
-            self.tasks.append(asyncio.create_task(self._guard(work)))
+            self.tasks.append(
+                asyncio.create_task(supervision.keep_running(work))
+            )
         _LOG.info('Node %s started.', self.options.node_id)
 
-    async def _guard(
-        self, work: collections.abc.Coroutine[None, None, None]
-    ) -> None:
-        """Run a task that must not end by itself."""
-        try:
-            await work
-        except Exception:
-            _LOG.exception('A task failed; the node stops.')
-            self.stop_wanted.set()
-
     async def settle(self) -> None:
         """Leave the members and wait until other nodes have noticed.
 
--- /dev/null
+++ b/tests/base/test_supervision.py
@@ -0,0 +1,33 @@
+"""Unexpected errors in tasks that last as long as their process."""
+
+import asyncio
+
+import pytest
+
+from godwitstall import supervision
+
+
+def test_failed_task_starts_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against one error that takes a process, or its work, down."""
+    monkeypatch.setattr(supervision, '_RESTART_S', 0.0)
+    starts = 0
+
+    async def scenario() -> None:
+        is_running = asyncio.Event()
+
+        async def work() -> None:
+            nonlocal starts
+            starts += 1
+            if starts < 4:
+                raise KeyError('of no use')
+            is_running.set()
+            await asyncio.Event().wait()
+
+        task = asyncio.create_task(supervision.keep_running(work))
+        async with asyncio.timeout(10.0):
+            await is_running.wait()
+        assert not task.done()
+        task.cancel()
+
+    asyncio.run(scenario())
+    assert starts == 4
