Push state less often to many nodes, and find the near replica sooner

Change: the gap between two updates grows by 2 ms a session, up to 0.2 s, and a process younger than 10 s asks for replicas twice a second until it knows one of its zone.

--- a/godwitstall/control/sessions.py
+++ b/godwitstall/control/sessions.py
@@ -30,8 +30,12 @@
     'Heartbeats dropped for a later one of the same session.',
 )
 
-# Changes that come close together are sent as one update.
+# Changes that come close together are sent as one update. With more sessions
+# the gap is longer, since a start of all nodes makes a change for each of
+# them, and each update goes to all.
 _PUSH_GAP_S = 0.02
+_PUSH_GAP_A_SESSION_S = 0.002
+_MAX_PUSH_GAP_S = 0.2
 
 # Longest time to confirm one heartbeat, seconds.
 _CONFIRM_TIMEOUT_S = 1.5
@@ -90,7 +94,12 @@
             self.changed.clear()
             for session in list(self.open.values()):
                 self._push(session)
-            await asyncio.sleep(_PUSH_GAP_S)
+            await asyncio.sleep(self._push_gap_s())
+
+    def _push_gap_s(self) -> float:
+        """Return the time between two updates of a session."""
+        gap_s = _PUSH_GAP_S + _PUSH_GAP_A_SESSION_S * len(self.open)
+        return min(gap_s, _MAX_PUSH_GAP_S)
 
     def _push(self, session: Session) -> bool:
         """Send what the node lacks; return whether it lacks nothing now."""
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -57,8 +57,12 @@
 # would leave it no third try during a change of leader.
 _RETRY_GRANT_S = 0.05
 
-# Time between two questions for the replicas of the fleet, seconds.
+# Time between two questions for the replicas of the fleet, seconds, and the
+# shorter one of a young process that knows none in its zone: all replicas
+# start with it, and not all are known at once.
 _DIRECTORY_INTERVAL_S = 5.0
+_FIRST_DIRECTORY_INTERVAL_S = 0.5
+_YOUNG_S = 10.0
 
 # One try of a command; a lost reply is found out after this long, seconds.
 _PROPOSE_TRY_S = 2.0
@@ -100,6 +104,8 @@
         self.grant_wanted = asyncio.Event()
         # When the release note in force arrived, seconds of clock.now().
         self.number_at = 0.0
+        # Start of this process, seconds of clock.now().
+        self.began_at = clock.now()
         # Slot of the replica in use, for the dump.
         self.slot = ''
 
@@ -197,7 +203,13 @@
                 self.replicas.learn(reply.replicas)
             if self.replicas.knows_nearer(address, clock.now()):
                 raise _NearerReplicaError()
-            await asyncio.sleep(_DIRECTORY_INTERVAL_S)
+            await asyncio.sleep(self._directory_interval_s())
+
+    def _directory_interval_s(self) -> float:
+        is_young = clock.now() - self.began_at < _YOUNG_S
+        if is_young and not self.replicas.knows_near():
+            return _FIRST_DIRECTORY_INTERVAL_S
+        return _DIRECTORY_INTERVAL_S
 
     async def _on_push(self, message: messages.Message) -> None:
         if not isinstance(message, messages.StateUpdate):
--- a/godwitstall/node/replica_choice.py
+++ b/godwitstall/node/replica_choice.py
@@ -87,6 +87,10 @@
             for other in self.known.values()
         )
 
+    def knows_near(self) -> bool:
+        """Return whether a replica in the own zone is known."""
+        return any(self._is_near(other) for other in self.known.values())
+
     def on_end(self, address: str, lasted_s: float, now: float) -> None:
         """Note that a session failed after a time."""
         record = self._records.setdefault(address, _Record())
--- a/tests/control/test_session_resume.py
+++ b/tests/control/test_session_resume.py
@@ -101,6 +101,22 @@
     }
 
 
+def test_gap_between_updates_grows_with_the_sessions() -> None:
+    """Guards against an update to all nodes for each node that joins."""
+    machine = machines.Machine.from_config(_OPTIONS)
+    sessions = session_module.Sessions(
+        machine, typing.cast(barriers.Barrier, _Barrier())
+    )
+    gaps = []
+    for count in (0, 40, 10_000):
+        links: typing.Any = range(count)
+        sessions.open = {link: session_module.Session(link) for link in links}
+        gaps.append(sessions._push_gap_s())
+    assert gaps == sorted(gaps)
+    # A tenth of the time in which a change must be in force.
+    assert gaps[0] <= 0.02 and gaps[1] <= 0.1 and gaps[2] <= 0.2
+
+
 def test_node_that_lacks_nothing_gets_nothing() -> None:
     """Guards against traffic for no change, and against a state going back."""
     assert _first_update(40) is None
