Use the seeds of a reload for sessions with control

Cause: the choice of replicas kept the list of seeds that the process started with, while a reload puts another list into the settings; read in the diff.

Change: the session hands the present seeds to the choice before each try. Buckets of stewards for workspaces that are gone are dropped as well.

Before: test_changed_seeds_are_used fails; after: it passes.

--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/control_session.py
@@ -128,6 +128,8 @@
         pause_s = _RECONNECT_MIN_S
         while True:
             started = clock.now()
+            # A reload of the settings may have changed them.
+            self.replicas.seeds = self.fleet.seeds
             address = self.replicas.next(started)
             try:
                 await self._serve(address)
--- a/godwitstall/rates/steward.py
+++ b/godwitstall/rates/steward.py
@@ -67,6 +67,8 @@
     ) -> None:
         """Take over the rates in force and the members."""
         self.rates = rates
+        for workspace in [w for w in self._buckets if w not in rates]:
+            del self._buckets[workspace]
         found = sorted(node_ids)
         if found != self._node_ids:
             self._node_ids = found
--- a/tests/node/test_replica_choice.py
+++ b/tests/node/test_replica_choice.py
@@ -1,9 +1,15 @@
 """Choice of a control replica: near ones first, failed ones last."""
 
+import asyncio
 import random
 
+import pytest
+
+from godwitstall import errors
 from godwitstall import messages
+from godwitstall.node import control_session
 from godwitstall.node import replica_choice
+from tests import gateways
 
 _SEEDS = ['10.1.0.1:1', '10.2.0.1:1', '10.3.0.1:1']
 
@@ -91,3 +97,26 @@
         seen.add(address)
         choice.on_end(address, 0.0, step * 0.1)
     assert seen == {*_SEEDS, '10.7.0.1:1'}
+
+
+def test_changed_seeds_are_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a node that asks seeds which a reload has replaced."""
+    monkeypatch.setattr(control_session, '_RECONNECT_MIN_S', 0.0)
+    node = gateways.make_node('siop')
+    node.session.fleet.seeds = ['10.9.0.1:1']
+    asked = asyncio.Event()
+
+    async def serve(address: str) -> None:
+        if address == '10.9.0.1:1':
+            asked.set()
+        raise errors.LinkError(errors.ErrorKind.PEER_LOST)
+
+    monkeypatch.setattr(node.session, '_serve', serve)
+
+    async def scenario() -> None:
+        task = asyncio.create_task(node.session.run())
+        async with asyncio.timeout(10.0):
+            await asked.wait()
+        task.cancel()
+
+    asyncio.run(scenario())
