--- a/godwitstall/decisions.py
+++ b/godwitstall/decisions.py
@@ -58,7 +58,7 @@
 
     def has_room(self, is_routine: bool) -> bool:
         """Return whether the bound lets a line through; count it if not."""
-        now = clock.now()
+        now = clock.recent()
         if int(now) != self.second:
             self.second = int(now)
             self.lines = 0
--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import functools
 
 
 class Outcome(enum.Enum):
@@ -64,7 +65,11 @@
     BAD_MESSAGE = 33
     CHAIN_OVERLOADED = 34
 
-    @property
+    # The one of Enum is a Python function, and each answer looks its kind up
+    # in tables.
+    __hash__ = object.__hash__
+
+    @functools.cached_property
     def label(self) -> str:
         """Word used in headers, JSON and metrics, for example 'no_route'."""
         return self.name.lower()
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -45,6 +45,12 @@
 _LAST_READ_S = 0.05
 _FINISH_POLL_S = 0.02
 
+# Bytes of a header line besides its name and value.
+_HEADER_LINE_BYTES = 4
+
+# Longest Content-Length that is read, digits.
+_LENGTH_DIGITS = 15
+
 # Unsent bytes above which no further request of a connection is read.
 _HIGH_WATER_BYTES = 256 * 1024
 
@@ -80,7 +86,7 @@
     headers: Pairs
     # Body, whole.
     body: bytes
-    # Arrival of the last byte, seconds of clock.now().
+    # Arrival of the last byte, seconds of clock.recent().
     received_at: float
 
     def header(self, name: bytes) -> bytes:
@@ -136,7 +142,7 @@
         # Requests without a written answer, oldest first.
         self.exchanges: collections.deque[_Exchange] = collections.deque()
         # When the last request or answer ended, seconds.
-        self.active_at = clock.now()
+        self.active_at = clock.recent()
         # When the request that is being read began; 0 between requests.
         self.began_at = 0.0
         # Bytes read since the last request ended, at most up to its body.
@@ -188,7 +194,7 @@
         if self.is_ending:
             return
         if not self.began_at:
-            self.began_at = clock.now()
+            self.began_at = clock.recent()
         if self.is_in_headers:
             # A line without an end is not reported by the parser.
             self.header_bytes += len(data)
@@ -221,7 +227,7 @@
         if self.is_ending:
             return
         self._reset()
-        self.began_at = clock.now()
+        self.began_at = clock.recent()
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -235,20 +241,22 @@
     def on_headers_complete(self) -> None:
         self.is_in_headers = False
         limits = self.listener.limits
-        size = len(self.url) + sum(
-            len(name) + len(value) + 4 for name, value in self.headers
-        )
+        size = len(self.url)
+        hosts = 0
+        for name, value in self.headers:
+            size += len(name) + len(value) + _HEADER_LINE_BYTES
+            if name == b'host':
+                hosts += 1
+            elif name == b'content-length' and (
+                len(value) > _LENGTH_DIGITS
+                or int(value) > limits.max_body_bytes
+            ):
+                self.refuse(413)
         if size > limits.max_header_bytes:
             self.refuse(431)
-            return
-        if sum(name == b'host' for name, _ in self.headers) > 1:
+        elif hosts > 1:
             # Two readers could choose different ones.
             self.refuse(400)
-        for name, value in self.headers:
-            if name == b'content-length' and (
-                len(value) > 15 or int(value) > limits.max_body_bytes
-            ):
-                self.refuse(413)
 
     def on_body(self, body: bytes) -> None:
         self.body_bytes += len(body)
@@ -270,7 +278,7 @@
             self.url.decode('latin-1'),
             self.headers,
             b''.join(self.body),
-            clock.now(),
+            clock.recent(),
         )
         self.body = []
         exchange = _Exchange(
@@ -311,7 +319,7 @@
         while self.exchanges and self.exchanges[0].answer is not None:
             exchange = self.exchanges.popleft()
             self.transport.write(exchange.answer)
-            self.active_at = clock.now()
+            self.active_at = clock.recent()
             if exchange.closes:
                 # Requests behind this answer were not read, for the client.
                 for later in self.exchanges:
@@ -394,7 +402,7 @@
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_S)
-            now = clock.now()
+            now = clock.recent()
             for connection in list(self.connections):
                 connection.check_time(now)
 
@@ -426,7 +434,7 @@
         """
         self.is_stopping = True
         await self._stop_listening()
-        end = clock.now() + timeout_s
+        end = clock.recent() + timeout_s
         # Connections that were accepted just now have not been read yet.
         await asyncio.sleep(_LAST_READ_S)
         while True:
@@ -435,7 +443,7 @@
             for connection in list(self.connections):
                 if not connection.is_owing():
                     connection.transport.close()
-            if not self.connections or clock.now() >= end:
+            if not self.connections or clock.recent() >= end:
                 break
             await asyncio.sleep(_FINISH_POLL_S)
         await self.close()
--- a/godwitstall/node/digests.py
+++ b/godwitstall/node/digests.py
@@ -15,8 +15,7 @@
 
 def of_parts(*parts: bytes) -> bytes:
     """Return the digest of the parts in order."""
-    digest = hashlib.sha256()
-    for part in parts:
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
-        digest.update(part)
-    return digest.digest()
+    framed = b''.join(
+        len(part).to_bytes(_LENGTH_BYTES, 'big') + part for part in parts
+    )
+    return hashlib.sha256(framed).digest()
--- a/godwitstall/node/exchange.py
+++ b/godwitstall/node/exchange.py
@@ -40,7 +40,7 @@
     deadline: float,
 ) -> bytes:
     """Return the headers for an upstream with names of its own."""
-    left_ms = max(1, int((deadline - clock.now()) * 1000))
+    left_ms = max(1, int((deadline - clock.recent()) * 1000))
     block = call.headers + b'%s: %d\r\n' % (names.deadline_ms, left_ms)
     if instance_id:
         block += b'%s: %s\r\n' % (
@@ -61,7 +61,7 @@
     call: messages.Call, entry: context.Running, deadline: float
 ) -> bytes:
     """Return the headers that the upstream gets; never a key."""
-    left_ms = max(1, int((deadline - clock.now()) * 1000))
+    left_ms = max(1, int((deadline - clock.recent()) * 1000))
     own: collections.abc.Iterable[tuple[bytes, str]] = (
         (headers.CONTEXT, entry.token),
         (headers.DEADLINE_MS, str(left_ms)),
--- a/godwitstall/node/forward.py
+++ b/godwitstall/node/forward.py
@@ -70,7 +70,7 @@
         self, link: link_module.Link, message: messages.Message
     ) -> None:
         """Hand an answer to its call."""
-        self.heard_at = clock.now()
+        self.heard_at = clock.recent()
         if not isinstance(message, messages.Answer | messages.TakeReply):
             _LOG.warning('Unexpected %s.', type(message).__name__)
             return
@@ -133,7 +133,7 @@
         """Watch for links that went silent until cancelled."""
         while True:
             await asyncio.sleep(_WATCH_INTERVAL_S)
-            now = clock.now()
+            now = clock.recent()
             for peer in list(self.peers.values()):
                 peer.watch(now)
 
@@ -227,7 +227,7 @@
         async with peer.lock:
             if peer.is_open():
                 return
-            if clock.now() < peer.retry_at:
+            if clock.recent() < peer.retry_at:
                 raise errors.RequestError(
                     errors.ErrorKind.UPSTREAM_UNREACHABLE,
                     f'No link to {peer.address}.',
@@ -245,7 +245,7 @@
                     errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
                 ) from e
             peer.link = link
-            peer.heard_at = clock.now()
+            peer.heard_at = clock.recent()
             peer.asked_at = 0.0
             peer.reader = asyncio.create_task(peer.read(link))
 
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -90,7 +90,7 @@
             answer = dispatch.refusal(e)
         _REQUESTS.inc(route=route_name, kind=answer.kind.label)
         _SECONDS.observe(
-            clock.now() - request.received_at,
+            clock.recent() - request.received_at,
             route=route_name,
             kind=answer.kind.label,
         )
@@ -110,7 +110,7 @@
         if not decisions.has_room(is_routine):
             return
         write = decisions.write_routine if is_routine else decisions.write
-        now = clock.now()
+        now = clock.recent()
         write(
             _PART,
             'served' if answer.kind is errors.ErrorKind.NONE else 'refused',
@@ -172,7 +172,7 @@
         deadline: float,
         parent: context.Running,
     ) -> messages.Answer:
-        parent.begin_onward(clock.now())
+        parent.begin_onward(clock.recent())
         is_served = False
         try:
             answer = await self._send(
@@ -180,7 +180,7 @@
             )
             is_served = answer.status < _FIRST_SERVER_ERROR
         finally:
-            parent.end_onward(clock.now())
+            parent.end_onward(clock.recent())
             parent.has_given_up |= not is_served
         return answer
 
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -130,13 +130,13 @@
         if self.options.is_pass_through:
             return await self._send_naively(call, route, attempts, deadline)
         budget = self._budget(call.service)
-        budget.on_call(clock.now())
+        budget.on_call(clock.recent())
         left = attempts
         refusals = 0
         excluded: set[messages.NodeId] = set()
         answer: messages.Answer | None = None
         while True:
-            member = self.picker.pick(call.service, excluded, clock.now())
+            member = self.picker.pick(call.service, excluded, clock.recent())
             if member is None:
                 break
             call.attempts = min(max(1, route.dispatch_attempts), left)
@@ -153,7 +153,7 @@
                 left -= min(left, answer.attempts_used)
             self._tell_try(call, member, answer)
             excluded.add(member.node_id)
-            now = clock.now()
+            now = clock.recent()
             if not self._may_retry(answer, call) or left < 1:
                 break
             if now >= deadline or refusals == self.policy.max_refusals > 0:
@@ -228,8 +228,8 @@
         """
         answer = _no_upstream()
         for _ in range(_NAIVE_TRIES):
-            member = self.picker.pick(route.service, set(), clock.now())
-            if member is None or clock.now() >= deadline:
+            member = self.picker.pick(route.service, set(), clock.recent())
+            if member is None or clock.recent() >= deadline:
                 break
             call.attempts = attempts
             answer = await self._send_once(member, call, deadline)
@@ -255,7 +255,7 @@
         call: messages.Call,
         deadline: float,
     ) -> messages.Answer:
-        call.deadline_ms = max(1, int((deadline - clock.now()) * 1000))
+        call.deadline_ms = max(1, int((deadline - clock.recent()) * 1000))
         self.picker.on_dispatch(member.node_id)
         answer: messages.Answer | None = None
         try:
@@ -270,7 +270,7 @@
                 answer.attempts_used = call.attempts
             self._settle(member, answer, None)
         except asyncio.CancelledError:
-            self.picker.on_answer(member.node_id, None, False, clock.now())
+            self.picker.on_answer(member.node_id, None, False, clock.recent())
             raise
         else:
             self._settle(member, answer, answer.load)
@@ -283,14 +283,14 @@
         load: messages.LoadReport | None,
     ) -> None:
         self.picker.on_answer(
-            member.node_id, load, answer.kind in _DOWN_KINDS, clock.now()
+            member.node_id, load, answer.kind in _DOWN_KINDS, clock.recent()
         )
         if tells_of_upstream(answer):
             self.picker.on_outcome(
                 member.node_id,
                 answer.kind in _FAILED_KINDS
                 or answer.status in _FAILED_STATUSES,
-                clock.now(),
+                clock.recent(),
             )
 
     def dump(self) -> dict[str, typing.Any]:
--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -386,7 +386,7 @@
 
         host is the Host header, by default the address; echo is the id that
         the answer gives back, if it gives one. deadline is in seconds of
-        clock.now(). Errors: RequestError of kind UPSTREAM_UNREACHABLE when
+        clock.recent(). Errors: RequestError of kind UPSTREAM_UNREACHABLE when
         nothing was sent; UPSTREAM_LOST, ANSWER_CUT, ANSWER_TOO_LARGE or
         UPSTREAM_TIMEOUT after that. A cancellation closes the connection,
         which tells the upstream.
@@ -404,7 +404,7 @@
         try:
             future = connection.start(request, method == 'HEAD', echo)
             timer = asyncio.get_running_loop().call_later(
-                max(0.0, deadline - clock.now()),
+                max(0.0, deadline - clock.recent()),
                 connection._fail,
                 errors.ErrorKind.UPSTREAM_TIMEOUT,
             )
@@ -423,7 +423,7 @@
                 connection.close()
 
     async def _take(self, deadline: float) -> _Connection:
-        now = clock.now()
+        now = clock.recent()
         while self.idle:
             connection = self.idle.pop()
             idle_s = now - connection.idle_since
@@ -463,7 +463,7 @@
     def _put_back(self, connection: _Connection) -> None:
         if connection.is_closed:
             return
-        connection.idle_since = clock.now()
+        connection.idle_since = clock.recent()
         connection.waiter = None
         self.idle.append(connection)
 
--- a/godwitstall/routing/hosts.py
+++ b/godwitstall/routing/hosts.py
@@ -2,7 +2,8 @@
 
 Among the routes of a host the one with the longest prefix that begins the
 path decides. The path is compared byte by byte, as it was sent: an upstream
-that gets it unchanged reads the same.
+that gets it unchanged reads the same. A match takes a look-up for each length
+that a prefix of the host has, whatever the number of routes.
 
 Example: HostTable([Route('r', '/wool/', host='a')]).match('a', '/wool/7')
 """
@@ -19,17 +20,22 @@
     def __init__(
         self, routes: collections.abc.Iterable[messages.Route]
     ) -> None:
-        # By host, the longest prefix first.
-        self._by_host: dict[str, list[messages.Route]] = {}
+        # By host, then by prefix.
+        self._by_host: dict[str, dict[str, messages.Route]] = {}
+        # Lengths of the prefixes by host, the longest first.
+        self._lengths: dict[str, list[int]] = {}
         # Running sums of the weights by route name.
         self._sums: dict[str, list[float]] = {}
         for route in routes:
-            self._by_host.setdefault(route.host, []).append(route)
+            by_prefix = self._by_host.setdefault(route.host, {})
+            by_prefix.setdefault(route.path_prefix, route)
             self._sums[route.name] = list(
                 itertools.accumulate(t.weight for t in route.targets)
             )
-        for found in self._by_host.values():
-            found.sort(key=lambda route: -len(route.path_prefix))
+        for host, by_prefix in self._by_host.items():
+            self._lengths[host] = sorted(
+                {len(prefix) for prefix in by_prefix}, reverse=True
+            )
 
     def match(self, host: str, path: str) -> messages.Route | None:
         """Return the route of a request, or None.
@@ -37,8 +43,13 @@
         host is the Host header, with or without a port; path comes without
         the query.
         """
-        for route in self._by_host.get(_name_of(host), ()):
-            if path.startswith(route.path_prefix):
+        name = _name_of(host)
+        by_prefix = self._by_host.get(name)
+        if by_prefix is None:
+            return None
+        for length in self._lengths[name]:
+            route = by_prefix.get(path[:length])
+            if route is not None:
                 return route
         return None
 
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -91,14 +91,14 @@
         """
         near, far = self._candidates(service)
         best_near = self._best_of_two(near, excluded, now)
+        if best_near is not None and self._has_room(best_near, now):
+            return best_near
         best_far = self._best_of_two(far, excluded, now)
         if best_near is None or best_far is None:
             best = best_near or best_far
             if best is not None:
                 return best
             return self._last_resort(near + far, excluded)
-        if self._has_room(best_near, now):
-            return best_near
         margin = self.score(best_near, now) - self.score(best_far, now)
         return best_near if margin <= ZONE_MARGIN else best_far
 
--- a/tests/routing/test_hosts.py
+++ b/tests/routing/test_hosts.py
@@ -1,5 +1,7 @@
 """Routes by host: longest prefix and shares of the services."""
 
+import typing
+
 import hypothesis
 from hypothesis import strategies
 
@@ -63,3 +65,26 @@
     chosen = [table.choose(route, point / 1000) for point in range(1000)]
     assert chosen.count(messages.ServiceName('old')) == 900
     assert chosen.count(messages.ServiceName('new')) == 100
+
+
+def test_match_costs_the_same_with_many_routes() -> None:
+    """Guards against a path that is compared with each route of a host.
+
+    The pattern is a configuration that grows by hundreds of routes.
+    """
+    looked_up: list[str] = []
+
+    class Path(str):
+        def startswith(self, *args: typing.Any) -> bool:
+            looked_up.append('startswith')
+            return super().startswith(*args)
+
+        def __getitem__(self, key: typing.Any) -> str:
+            looked_up.append('part')
+            return super().__getitem__(key)
+
+    routes = [_route(f'r{n}', 'a', f'/part-{n:04}/') for n in range(500)]
+    table = hosts.HostTable([*routes, _route('all', 'a', '/')])
+    assert table.match('a', Path('/part-0499/x')) is routes[499]
+    assert table.match('a', Path('/none/x')) is not None
+    assert len(looked_up) < 10
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -363,3 +363,38 @@
         chooser.on_outcome(messages.NodeId('n1'), turn % 3 == 0, 0.0)
     chosen = chooser.pick(_SERVICE, set(), 0.0)
     assert chosen is not None and chosen.node_id == 'n2'
+
+
+def test_other_zones_are_not_weighed_while_the_own_has_room(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against work for a choice that cannot be taken.
+
+    The pattern is the usual one: a member of the own zone has room.
+    """
+    chooser = picker.Picker(view.View(), 'own', random.Random(7))
+    far = [
+        messages.Member(
+            node_id=messages.NodeId(f'far-{number}'),
+            service=_SERVICE,
+            zone='other',
+        )
+        for number in range(9)
+    ]
+    near = messages.Member(
+        node_id=messages.NodeId('near'),
+        service=_SERVICE,
+        zone='own',
+    )
+    asked: list[int] = []
+    best_of_two = chooser._best_of_two
+
+    def count(members: list[messages.Member], *rest: typing.Any) -> typing.Any:
+        asked.append(len(members))
+        return best_of_two(members, *rest)
+
+    chooser._members[_SERVICE] = [near], far
+    monkeypatch.setattr(chooser, '_best_of_two', count)
+    assert chooser.pick(_SERVICE, set(), 1.0) is near
+    assert asked == [1]
+    assert chooser.pick(_SERVICE, {near.node_id}, 1.0) in far
