--- a/godwitstall/event_loop.py
+++ b/godwitstall/event_loop.py
@@ -3,8 +3,8 @@
 The standard loop asks the kernel for events before each round of callbacks,
 also when callbacks wait to be run. A request takes several rounds in each
 process, so most of these questions find nothing. This loop asks when it is
-idle, and otherwise after some rounds only. Between two questions it reads
-the clock once, for its timers and for clock.recent().
+idle, and otherwise after some rounds only. Between two questions it looks for
+due timers with one reading of the clock, which is that of clock.recent().
 
 Example: event_loop.run(main())
 """
@@ -30,31 +30,39 @@
         super().__init__()
         # Questions passed over since the last one that was asked.
         self.passed_over = 0
+        # The loop has not read the time since select() returned.
+        self.has_returned = False
 
     def select(self, timeout: float | None = None) -> _Events:
         """Return events, or none without asking when timeout is 0."""
+        self.has_returned = True
         if timeout is not None and timeout <= 0:
             self.passed_over += 1
             if self.passed_over < _MAX_ROUNDS:
                 return []
         self.passed_over = 0
-        if timeout:
-            # The loop worked out the timeout with the reading that is kept.
-            timeout = max(timeout - (clock.now() - clock.recent()), 0)
         events = super().select(timeout)
         clock.forget_reading()
         return events
 
 
 class Loop(asyncio.SelectorEventLoop):
-    """An event loop whose timers use clock.recent()."""
+    """An event loop whose timers count suspended time."""
 
-    def __init__(self) -> None:
-        super().__init__(SparingSelector())
+    def __init__(self, selector: SparingSelector | None = None) -> None:
+        self.sparing_selector = selector or SparingSelector()
+        super().__init__(self.sparing_selector)
 
     def time(self) -> float:
-        """Return seconds since boot, suspended time included."""
-        return clock.recent()
+        """Return seconds since boot, suspended time included.
+
+        The loop looks for due timers after each select(). All other readings
+        are for new timers, which a long callback before must not shorten.
+        """
+        if self.sparing_selector.has_returned:
+            self.sparing_selector.has_returned = False
+            return clock.recent()
+        return clock.now()
 
 
 def new_loop() -> asyncio.AbstractEventLoop:
