--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -23,10 +23,6 @@
 # a limit.
 ZONE_MARGIN = 0.25
 
-# Share of failed calls up to which the own zone is not left. A few fail at any
-# service, and a call that fails can be sent again.
-ZONE_FAILED = 0.1
-
 # Weight of one call in the moving average of failed calls.
 _FAILURE_WEIGHT = 0.04
 
@@ -172,9 +168,8 @@
         known = self._loads.get(member.node_id)
         if known is None:
             return True
-        return (
-            _load_share(known, now) <= ZONE_FULL
-            and _failed_share(known, now) <= ZONE_FAILED
+        return _load_share(known, now) <= ZONE_FULL and not (
+            _failed_share(known, now)
         )
 
     def dump(self) -> dict[str, typing.Any]:
