--- a/godwitstall/limits/fair_queue.py
+++ b/godwitstall/limits/fair_queue.py
@@ -172,10 +172,16 @@
             return self._evict()
         return None
 
-    def pop(self, now: float) -> Item | None:
-        """Return the next item to run, or None; skips late items."""
+    def pop(self, now: float, prefers_new: bool = False) -> Item | None:
+        """Return the next item to run, or None; skips late items.
+
+        prefers_new lets an item that begins a chain go before onward calls
+        of its rank and priority.
+        """
         self._collect(now)
-        for band in self._bands:
+        for place in range(len(self._bands)):
+            # The bands of one rank and priority stand beside each other.
+            band = self._bands[place ^ prefers_new]
             while band.count:
                 _, order, flow = heapq.heappop(band.heap)
                 if flow.order != order:
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -16,6 +16,7 @@
 from godwitstall import errors
 from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
+from godwitstall.limits import slot_shares
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -115,8 +116,10 @@
         self.queue = fair_queue.FairQueue(
             options.max_queue, options.max_queue_wait_ms / 1000
         )
-        # Requests that hold a slot.
+        # Requests that hold a slot, and those of them that begin a chain.
         self.running = 0
+        self.running_new = 0
+        self.shares = slot_shares.SlotShares()
         # Calls inside handle(), queued ones included.
         self.active = 0
         # Wakes the task that drops waiting work; without work it sleeps.
@@ -129,7 +132,7 @@
     def load(self) -> messages.LoadReport:
         """Return the load that answers carry to entry nodes."""
         is_usable = self.upstream.is_ready() and not self.upstream.is_stalled
-        limit = self.upstream.capacity(clock.now()) if is_usable else 0
+        limit = self.upstream.capacity(clock.recent()) if is_usable else 0
         return messages.LoadReport(
             self.running, len(self.queue), limit, self.upstream.state
         )
@@ -140,7 +143,7 @@
         A cancellation of the task means that the caller gave up: queued
         work is dropped and running work is cancelled.
         """
-        deadline = clock.now() + call.deadline_ms / 1000
+        deadline = clock.recent() + call.deadline_ms / 1000
         self.active += 1
         try:
             answer = await self._admit(call, deadline)
@@ -186,7 +189,7 @@
     def _check_chain(self, call: messages.Call) -> None:
         """Refuse a new chain that would probably fail further down."""
         if self._is_bound_chain(call) and not self.throttle.admits(
-            call.route_name, self.random.random(), clock.now()
+            call.route_name, self.random.random(), clock.recent()
         ):
             raise errors.RequestError(
                 errors.ErrorKind.CHAIN_OVERLOADED,
@@ -204,7 +207,7 @@
 
     async def _take_suspect_turn(self, deadline: float) -> None:
         """Wait for the suspect before, as long as the queue may take."""
-        left_s = deadline - clock.now()
+        left_s = deadline - clock.recent()
         max_wait_s = self.options.max_queue_wait_ms / 1000
         try:
             async with asyncio.timeout(min(left_s, max_wait_s)):
@@ -229,18 +232,29 @@
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
         await self._take_slot(call, deadline)
+        started = clock.recent()
         try:
             if not call.operation_id or call.is_idempotent:
                 return await self._dispatch(call, deadline)
             return await self._run_operation(call, deadline)
         finally:
-            self.running -= 1
-            self._start_waiting()
+            self.shares.on_end(call.is_onward, clock.recent() - started)
+            self._release_slot(call.is_onward)
+
+    def _hold_slot(self, is_onward: bool) -> None:
+        self.running += 1
+        self.running_new += not is_onward
+
+    def _release_slot(self, is_onward: bool) -> None:
+        self.running -= 1
+        self.running_new -= not is_onward
+        self._start_waiting()
 
     async def _take_slot(self, call: messages.Call, deadline: float) -> None:
-        now = clock.now()
+        now = clock.recent()
+        self.shares.on_arrival(call.is_onward, now)
         if not self.queue and self.upstream.may_start(self.running, now):
-            self.running += 1
+            self._hold_slot(call.is_onward)
             _WAITED.observe(0.0, priority=call.priority.name.lower())
             return
         future: asyncio.Future[None]
@@ -264,12 +278,11 @@
         try:
             await future
             _WAITED.observe(
-                clock.now() - now, priority=call.priority.name.lower()
+                clock.recent() - now, priority=call.priority.name.lower()
             )
         except asyncio.CancelledError:
             if not self.queue.remove(item) and is_granted(future):
-                self.running -= 1
-                self._start_waiting()
+                self._release_slot(call.is_onward)
             raise
 
     def _refuse_item(
@@ -279,7 +292,7 @@
         if future.done():
             return
         _SHED.inc(priority=item.priority.name.lower())
-        retry_after_s = self.queue.retry_after_s(clock.now())
+        retry_after_s = self.queue.retry_after_s(clock.recent())
         future.set_exception(
             errors.RequestError(
                 kind, retry_after_ms=max(1, int(retry_after_s * 1000))
@@ -288,17 +301,21 @@
 
     def _start_waiting(self) -> None:
         """Give free slots to waiting work."""
-        now = clock.now()
+        now = clock.recent()
         while self.queue and self.upstream.may_start(self.running, now):
-            item = self.queue.pop(now)
+            item = self.queue.pop(now, self._prefers_new(now))
             if item is None:
                 break
             future: asyncio.Future[None] = item.payload
             if not future.done():
-                self.running += 1
+                self._hold_slot(item.is_onward)
                 future.set_result(None)
         self._expire(now)
 
+    def _prefers_new(self, now: float) -> bool:
+        capacity = self.upstream.capacity(now)
+        return self.shares.prefers_new(self.running_new, capacity, now)
+
     def _expire(self, now: float) -> None:
         for item in self.queue.expire(now):
             kind = errors.ErrorKind.OVERLOADED
@@ -352,7 +369,7 @@
     ) -> messages.Answer:
         # Queue and claim take time, so what _admit() saw may have changed.
         self._check_ready()
-        now = clock.now()
+        now = clock.recent()
         if now >= deadline:
             raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
         if call.attempts < 1:
@@ -366,7 +383,7 @@
             outcome = await self._send(client, call, entry, deadline)
         finally:
             self.contexts.close(entry)
-        ended = clock.now()
+        ended = clock.recent()
         _UPSTREAM_SECONDS.observe(ended - now, kind=outcome.kind.label)
         if entry.onward_s and self._is_bound_chain(call):
             is_well = not entry.has_given_up and outcome.kind is (
@@ -486,6 +503,8 @@
         """Return the state for the dump."""
         return {
             'running': self.running,
+            'running_new': self.running_new,
+            'part_of_new': self.shares.part_of_new(clock.now()),
             'queued': len(self.queue),
             'active': self.active,
             'contexts': len(self.contexts.running),
