--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -16,7 +16,6 @@
 from godwitstall import errors
 from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
-from godwitstall.limits import slot_shares
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -26,6 +25,7 @@
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import exchange
 from godwitstall.node import headers
+from godwitstall.node import slots
 from godwitstall.node import upstream as upstream_module
 from godwitstall.node import upstream_client
 from godwitstall.routing import view as view_module
@@ -35,21 +35,12 @@
 _DISPATCHED = metrics.counter(
     'dispatched_total', 'Requests sent to the own upstream.'
 )
-_WAITED = metrics.histogram(
-    'queue_wait_seconds', 'Time to a slot of the upstream by priority.'
-)
 _UPSTREAM_SECONDS = metrics.histogram(
     'upstream_seconds', 'Time of a dispatch by error kind, onward calls in.'
 )
 _ANSWERED = metrics.counter(
     'owner_answers_total', 'Answers of the owner side by error kind.'
 )
-_SHED = metrics.counter(
-    'shed_total', 'Requests shed from the queue by priority.'
-)
-
-# How often waiting work is checked against its deadline, seconds.
-_EXPIRE_INTERVAL_S = 0.02
 
 # Refusals with these statuses pass with time, so they carry a time to come
 # back (requirement R12); this one when nothing better is known, milliseconds.
@@ -113,17 +104,14 @@
         self.contexts = contexts
         self.claimer = claimer
         self.crash_watch = crash_watch
-        self.queue = fair_queue.FairQueue(
-            options.max_queue, options.max_queue_wait_ms / 1000
+        self.slots = slots.Slots(
+            fair_queue.FairQueue(
+                options.max_queue, options.max_queue_wait_ms / 1000
+            ),
+            upstream,
         )
-        # Requests that hold a slot, and those of them that begin a chain.
-        self.running = 0
-        self.running_new = 0
-        self.shares = slot_shares.SlotShares()
         # Calls inside handle(), queued ones included.
         self.active = 0
-        # Wakes the task that drops waiting work; without work it sleeps.
-        self.has_queued = asyncio.Event()
         self.throttle = chain_throttle.ChainThrottle()
         self.random = random.Random()
         # One suspect at a time, so that a crash tells which one it was.
@@ -134,7 +122,10 @@
         is_usable = self.upstream.is_ready() and not self.upstream.is_stalled
         limit = self.upstream.capacity(clock.recent()) if is_usable else 0
         return messages.LoadReport(
-            self.running, len(self.queue), limit, self.upstream.state
+            self.slots.running,
+            len(self.slots.queue),
+            limit,
+            self.upstream.state,
         )
 
     async def handle(self, call: messages.Call) -> messages.Answer:
@@ -231,106 +222,14 @@
     async def _run_in_slot(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
-        await self._take_slot(call, deadline)
+        await self.slots.take(call, deadline)
         started = clock.recent()
         try:
             if not call.operation_id or call.is_idempotent:
                 return await self._dispatch(call, deadline)
             return await self._run_operation(call, deadline)
         finally:
-            self.shares.on_end(call.is_onward, clock.recent() - started)
-            self._release_slot(call.is_onward)
-
-    def _hold_slot(self, is_onward: bool) -> None:
-        self.running += 1
-        self.running_new += not is_onward
-
-    def _release_slot(self, is_onward: bool) -> None:
-        self.running -= 1
-        self.running_new -= not is_onward
-        self._start_waiting()
-
-    async def _take_slot(self, call: messages.Call, deadline: float) -> None:
-        now = clock.recent()
-        self.shares.on_arrival(call.is_onward, now)
-        if not self.queue and self.upstream.may_start(self.running, now):
-            self._hold_slot(call.is_onward)
-            _WAITED.observe(0.0, priority=call.priority.name.lower())
-            return
-        future: asyncio.Future[None]
-        future = asyncio.get_running_loop().create_future()
-        item = fair_queue.Item(
-            call.workspace,
-            call.priority,
-            deadline,
-            now,
-            future,
-            call.order,
-            call.is_onward,
-        )
-        shed = self.queue.push(item, now)
-        self.has_queued.set()
-        if shed is not None:
-            self._refuse_item(shed, errors.ErrorKind.OVERLOADED)
-        # A slot may be free although others wait: no call ends at a stalled
-        # upstream to hand its slot on when it recovers.
-        self._start_waiting()
-        try:
-            await future
-            _WAITED.observe(
-                clock.recent() - now, priority=call.priority.name.lower()
-            )
-        except asyncio.CancelledError:
-            if not self.queue.remove(item) and is_granted(future):
-                self._release_slot(call.is_onward)
-            raise
-
-    def _refuse_item(
-        self, item: fair_queue.Item, kind: errors.ErrorKind
-    ) -> None:
-        future: asyncio.Future[None] = item.payload
-        if future.done():
-            return
-        _SHED.inc(priority=item.priority.name.lower())
-        retry_after_s = self.queue.retry_after_s(clock.recent())
-        future.set_exception(
-            errors.RequestError(
-                kind, retry_after_ms=max(1, int(retry_after_s * 1000))
-            )
-        )
-
-    def _start_waiting(self) -> None:
-        """Give free slots to waiting work."""
-        now = clock.recent()
-        while self.queue and self.upstream.may_start(self.running, now):
-            item = self.queue.pop(now, self._prefers_new(now))
-            if item is None:
-                break
-            future: asyncio.Future[None] = item.payload
-            if not future.done():
-                self._hold_slot(item.is_onward)
-                future.set_result(None)
-        self._expire(now)
-
-    def _prefers_new(self, now: float) -> bool:
-        capacity = self.upstream.capacity(now)
-        return self.shares.prefers_new(self.running_new, capacity, now)
-
-    def _expire(self, now: float) -> None:
-        for item in self.queue.expire(now):
-            kind = errors.ErrorKind.OVERLOADED
-            if now >= item.deadline:
-                kind = errors.ErrorKind.DEADLINE_PASSED
-            self._refuse_item(item, kind)
-
-    async def run(self) -> None:
-        """Drop work that waited too long until cancelled."""
-        while True:
-            await self.has_queued.wait()
-            await asyncio.sleep(_EXPIRE_INTERVAL_S)
-            self._start_waiting()
-            if not self.queue:
-                self.has_queued.clear()
+            self.slots.release(call.is_onward, clock.recent() - started)
 
     async def _run_operation(
         self, call: messages.Call, deadline: float
@@ -404,8 +303,8 @@
                 kind=outcome.kind.label,
                 detail=outcome.detail,
                 took_ms=round((ended - now) * 1000),
-                running=self.running,
-                queued=len(self.queue),
+                running=self.slots.running,
+                queued=len(self.slots.queue),
                 onward_failed=entry.has_given_up,
             )
         if outcome.is_refused:
@@ -462,7 +361,7 @@
             self.upstream.on_answer(now)
         self.upstream.limit.on_sample(
             entry.own_time_s(now),
-            self.running,
+            self.slots.running,
             # A timeout during an onward call is not the upstream's own.
             outcome.kind in _DROP_KINDS and not entry.onward_calls,
             now,
@@ -502,22 +401,12 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the dump."""
         return {
-            'running': self.running,
-            'running_new': self.running_new,
-            'part_of_new': self.shares.part_of_new(clock.now()),
-            'queued': len(self.queue),
+            **self.slots.dump(),
             'active': self.active,
             'contexts': len(self.contexts.running),
         }
 
 
-def is_granted(future: asyncio.Future[None]) -> bool:
-    """Return whether a waiting call was given a slot."""
-    return (
-        future.done() and not future.cancelled() and future.exception() is None
-    )
-
-
 def refusal(error: errors.RequestError) -> messages.Answer:
     """Return the answer for a call that failed with error."""
     rule = errors.ANSWERS[error.kind]
--- a/godwitstall/node/parts.py
+++ b/godwitstall/node/parts.py
@@ -119,7 +119,7 @@
         for work in (
             self.session.run,
             self.upstream.run,
-            self.owner.run,
+            self.owner.slots.run,
             self.membership.run,
             self.forwarder.run,
         ):
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -572,7 +572,8 @@
                 await fakes.until(
                     lambda node=node: (
                         not (  # type: ignore
-                            node.node.owner.running or node.node.owner.active
+                            node.node.owner.slots.running
+                            or node.node.owner.active
                         )
                     ),
                     'nothing is left behind',
--- a/tests/node/test_outcomes.py
+++ b/tests/node/test_outcomes.py
@@ -278,7 +278,9 @@
                 assert answer.headers['godwitstall-outcome'] == 'unknown'
                 # The owner stops the work that nobody waits for.
                 await asyncio.wait_for(received.closed.wait(), fakes.WAIT_S)
-                await fakes.until(lambda: not far.node.owner.running, 'freed')
+                await fakes.until(
+                    lambda: not far.node.owner.slots.running, 'freed'
+                )
             # The owner is gone: nothing was sent.
             far.node.peers.close_links()
             _cut_links(far, False)
@@ -402,9 +404,9 @@
                 await fakes.until(
                     lambda node=node: (
                         not (  # type: ignore
-                            node.node.owner.running
+                            node.node.owner.slots.running
                             or node.node.owner.active
-                            or len(node.node.owner.queue)
+                            or len(node.node.owner.slots.queue)
                             or node.node.contexts.running
                         )
                     ),
--- a/tests/node/test_shedding.py
+++ b/tests/node/test_shedding.py
@@ -12,7 +12,7 @@
 import pytest
 
 from godwitstall import messages
-from godwitstall.node import dispatch
+from godwitstall.node import slots
 from loadtool import http_client
 from tests import fakes
 
@@ -43,7 +43,7 @@
     ) -> None:
         self.entry = entry
         self.owner = owner
-        self.queue = owner.node.owner.queue
+        self.queue = owner.node.owner.slots.queue
         self.is_free = asyncio.Event()
         self.running: Task | None = None
 
@@ -94,7 +94,7 @@
             assert (await task).status == 200
         owner = self.owner.node.owner
         await fakes.until(lambda: not owner.active, 'all ended')
-        assert not owner.running and not len(self.queue)
+        assert not owner.slots.running and not len(self.queue)
         assert not self.owner.node.contexts.running
 
 
@@ -284,23 +284,23 @@
         task = asyncio.create_task(owner.handle(call))
         await fakes.until(lambda: len(stage.queue) == 1, 'queued')
         if moment == 'granted':
-            start_waiting = owner._start_waiting
+            start_waiting = owner.slots.start_waiting
 
             def start_and_cancel() -> None:
                 start_waiting()
                 if not len(stage.queue):
                     task.cancel()
 
-            monkeypatch.setattr(owner, '_start_waiting', start_and_cancel)
+            monkeypatch.setattr(owner.slots, 'start_waiting', start_and_cancel)
             stage.is_free.set()
         else:
-            refuse = owner._refuse_item
+            refuse = owner.slots._refuse
 
             def refuse_and_cancel(*arguments: typing.Any) -> None:
                 refuse(*arguments)
                 task.cancel()
 
-            monkeypatch.setattr(owner, '_refuse_item', refuse_and_cancel)
+            monkeypatch.setattr(owner.slots, '_refuse', refuse_and_cancel)
             for number in range(3):
                 stage.call(f'payment/{number}')
         await asyncio.wait({task})
@@ -324,7 +324,7 @@
         refused.set_exception(ValueError())
         cancelled.cancel()
         found = [
-            dispatch.is_granted(future)
+            slots.is_granted(future)
             for future in (granted, refused, cancelled, open_)
         ]
         assert found == [True, False, False, False]
--- a/tests/node/test_upstream_states.py
+++ b/tests/node/test_upstream_states.py
@@ -148,7 +148,9 @@
             first = asyncio.create_task(node.call('/orders/1', _KEY))
             await fakes.until(lambda: node.upstream.runs, 'runs')
             second = asyncio.create_task(node.call('/orders/2', _KEY))
-            await fakes.until(lambda: len(node.node.owner.queue), 'queued')
+            await fakes.until(
+                lambda: len(node.node.owner.slots.queue), 'queued'
+            )
             await node.announce(slots=1, state='draining')
             is_free.set()
             assert (await first).status == 200
@@ -280,7 +282,9 @@
             assert len(node.upstream.runs) == 4
             # When the share grows, nothing needs to end first.
             waiting = asyncio.create_task(node.call('/orders/last', _KEY))
-            await fakes.until(lambda: len(node.node.owner.queue), 'queued')
+            await fakes.until(
+                lambda: len(node.node.owner.slots.queue), 'queued'
+            )
             node.node.upstream.warmup.warmup_s = 0.0
             await fakes.until(
                 lambda: len(node.upstream.runs) == 5, 'one more runs'
