--- a/tests/node/test_whole_answers.py
+++ b/tests/node/test_whole_answers.py
@@ -429,9 +429,11 @@
             await fakes.until(
                 lambda: owner.calls[-1].path == '/far/2', 'second call'
             )
+            # What the old link still holds comes behind it.
+            own = owner.calls[-1]
             transport.resume_reading()
             assert json.loads((await first).body)['error'] == 'peer_lost'
-            owner.answer(owner.calls[-1].call_id, 'own')
+            owner.answer(own.call_id, 'own')
             assert (await second).body == b'own'
             assert not peer.waiting and not peer.users
             for load in node.node.relay.picker.dump().values():
