--- a/godwitstall/limits/slot_shares.py
+++ b/godwitstall/limits/slot_shares.py
@@ -71,6 +71,9 @@
     def part_of_new(self, now: float) -> float:
         """Return the part of the slots for requests that begin a chain."""
         self._decay(now)
+        if self._new.asked and not self._new.held_s:
+            # None has ended yet. Without a slot none ever would.
+            return _MAX_PART
         wanted_new = self._new.asked * self._new.held_s
         wanted = wanted_new + self._onward.asked * self._onward.held_s
         return min(wanted_new / wanted, _MAX_PART) if wanted else 0.0
--- a/tests/limits/test_slot_shares.py
+++ b/tests/limits/test_slot_shares.py
@@ -167,6 +167,21 @@
     assert not shares.prefers_new(2, 30, 0.0)
 
 
+def test_new_requests_get_slots_after_a_start_under_overload() -> None:
+    """Guards against callers who are never served because none ever was.
+
+    The pattern is an owner that starts again while chains fill its upstream.
+    """
+    shares = slot_shares.SlotShares()
+    for _ in range(100):
+        shares.on_arrival(True, 0.0)
+        shares.on_end(True, 0.1)
+    assert not shares.prefers_new(0, 30, 0.0)
+    shares.on_arrival(False, 0.0)
+    assert shares.prefers_new(0, 30, 0.0)
+    assert not shares.prefers_new(3, 30, 0.0)
+
+
 def test_repeats_of_callers_cannot_take_all_slots() -> None:
     """Guards against chains under way that callers who repeat push out."""
     shares = slot_shares.SlotShares()
