--- a/tests/limits/test_slot_shares.py
+++ b/tests/limits/test_slot_shares.py
@@ -18,15 +18,25 @@
 from godwitstall import messages
 
 _SLOTS = 30
+
+# Mean time that a request holds its slot, seconds.
 _DIRECT_S = 0.36
 _ONWARD_S = 0.022
+
+# Onward calls of a chain, one after the other.
 _CALLS = 8
+
+# Time that a caller waits, seconds.
 _ONWARD_DEADLINE_S = 0.7
 _DIRECT_DEADLINE_S = 2.0
+
+# Longest wait in the queue for a slot, seconds.
 _MAX_WAIT_S = 0.5
+
+# Length of a play, seconds.
 _LENGTH_S = 40.0
 
-# Load of both kinds as a share of the slots.
+# Load of both kinds as a share of the slots, and the callers' part of it.
 _OVERLOAD = 1.5
 _DIRECT_PART = 0.28
 
