Log and count the limit that an upstream names

Change: the owner node parses the two headers of each complete answer of its own upstream process, by names that the mesh defines, and keeps them with the time at which the headers arrived. It writes 'upstream rate_limited', 'rate_limit_ended', 'rate_exceeded' (once per second) and 'leaving', and sets a gauge and two counters.

--- a/godwitstall/node/dialect.py
+++ b/godwitstall/node/dialect.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from godwitstall import errors
+from godwitstall.node import upstream_status
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +34,8 @@
     retry_after: bytes
     # Statuses that differ from those of errors.ANSWERS.
     statuses: dict[errors.ErrorKind, int]
+    # Headers with which an upstream describes itself.
+    status_names: upstream_status.Names = upstream_status.DEFAULT_NAMES
 
     def status_of(self, kind: errors.ErrorKind) -> int:
         """Return the HTTP status for an error kind."""
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -28,6 +28,7 @@
 from godwitstall.node import slots
 from godwitstall.node import upstream as upstream_module
 from godwitstall.node import upstream_client
+from godwitstall.node import upstream_status
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
@@ -284,11 +285,13 @@
         incarnation = self.upstream.incarnation
         running_request = self.contexts.open(call, deadline, now)
         _DISPATCHES.inc(service=call.service)
+        self.upstream.on_send(now)
         try:
             result = await self._send(client, call, running_request, deadline)
         finally:
             self.contexts.close(running_request)
         ended = clock.recent()
+        self._update_status(result, incarnation)
         _UPSTREAM_SECONDS.observe(ended - now, kind=result.kind.label)
         if running_request.onward_time_s and self._is_subject_to_throttle(
             call
@@ -374,6 +377,22 @@
             return _DispatchResult(errors.ErrorKind.UPSTREAM_SHED, answer, '')
         return _DispatchResult(errors.ErrorKind.NONE, answer, '')
 
+    def _update_status(
+        self, result: _DispatchResult, incarnation: int
+    ) -> None:
+        """Process what a complete answer says about the upstream."""
+        answer = result.answer
+        if answer is None or result.kind is errors.ErrorKind.ANSWER_CUT:
+            return
+        if exchange.is_misdirected(answer):
+            # Another process answers a misdirected request.
+            return
+        names = upstream_status.DEFAULT_NAMES
+        if self.dialect is not None:
+            names = self.dialect.status_names
+        status = upstream_status.parse(names, answer)
+        self.upstream.on_status(status, incarnation, answer.headers_at)
+
     def _update_limit(
         self,
         result: _DispatchResult,
--- a/godwitstall/node/exchange.py
+++ b/godwitstall/node/exchange.py
@@ -26,10 +26,7 @@
     def find(name: bytes) -> bytes | None:
         return upstream_client.find_header(answer.headers, name)
 
-    if (
-        find(dialect.not_run) is not None
-        or answer.status == _MISDIRECTED_REQUEST_STATUS
-    ):
+    if find(dialect.not_run) is not None or is_misdirected(answer):
         return errors.ErrorKind.UPSTREAM_SHED, ''
     is_success = answer.status < _FIRST_ERROR_STATUS
     if is_success and find(dialect.signature) is None:
@@ -39,6 +36,11 @@
     return errors.ErrorKind.NONE, ''
 
 
+def is_misdirected(answer: upstream_client.UpstreamAnswer) -> bool:
+    """Return whether the request was meant for another process."""
+    return answer.status == _MISDIRECTED_REQUEST_STATUS
+
+
 def build_dialect_headers(
     dialect: dialect_module.Dialect,
     call: messages.Call,
--- a/godwitstall/node/headers.py
+++ b/godwitstall/node/headers.py
@@ -21,6 +21,8 @@
 RETRY_AFTER_MS = b'godwitstall-retry-after-ms'
 REPLAYED = b'godwitstall-replayed'
 ATTEMPTS_USED = b'godwitstall-attempts-used'
+RATE_LIMIT = b'godwitstall-rate-limit'
+LEAVING = b'godwitstall-leaving'
 
 _OWN_PREFIX = b'godwitstall-'
 
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -10,11 +10,14 @@
 
 import asyncio
 import collections.abc
+import math
 import typing
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import errors
 from godwitstall.limits import concurrency
+from godwitstall.limits import upstream_rate
 from godwitstall.limits import warmup
 from godwitstall import link as link_module
 from godwitstall import logs
@@ -23,12 +26,25 @@
 from godwitstall.node import announcements
 from godwitstall.node import context
 from godwitstall.node import upstream_client
+from godwitstall.node import upstream_status
 from godwitstall import settings
 
 _LOG = logs.get('upstream')
 _STATE_CHANGES = metrics.counter(
     'upstream_state_changes_total', 'State changes of the upstream.'
 )
+_RATE_LIMIT = metrics.gauge(
+    'upstream_rate_limit_per_s',
+    'Requests per second that the upstream accepts; 0 without a limit.',
+)
+_OVER_RATE_LIMIT = metrics.counter(
+    'upstream_over_rate_limit_total',
+    'Requests sent to the upstream beyond the rate that it accepts.',
+)
+_LEAVING_ANSWERS = metrics.counter(
+    'upstream_leaving_answers_total',
+    'Answers in which the upstream says that it is about to exit.',
+)
 
 # Time without an answer to any call after which the upstream is stalled.
 STALL_TIMEOUT_S = 3.0
@@ -40,6 +56,9 @@
 
 _PROBE_TIMEOUT_S = 1.0
 
+# Shortest interval between two log lines about an exceeded rate, seconds.
+_RATE_LOG_INTERVAL_S = 1.0
+
 OnChange = collections.abc.Callable[[], None]
 
 
@@ -78,6 +97,11 @@
         self.stall_pause_s = STALL_PAUSE_MIN_S
         # Limit on slots from the configuration; 0 means none.
         self.max_slots = 0
+        self.rate = upstream_rate.UpstreamRate()
+        # Time of the last log line about an exceeded rate, seconds.
+        self.rate_logged_at = -math.inf
+        # Whether an answer of the current process said that it leaves.
+        self.is_leaving = False
 
     @property
     def incarnation(self) -> int:
@@ -164,6 +188,9 @@
         self.answered_at = now
         self.is_stalled = False
         self.has_drained = False
+        self.is_leaving = False
+        self.rate = upstream_rate.UpstreamRate()
+        _RATE_LIMIT.set(0.0)
         self.state = messages.UpstreamState.DOWN
 
     def set_state(self, state: messages.UpstreamState) -> None:
@@ -197,6 +224,61 @@
         if self.is_stalled:
             self._end_stall(now)
 
+    def on_status(
+        self,
+        status: upstream_status.UpstreamStatus,
+        incarnation: int,
+        answered_at: float,
+    ) -> None:
+        """Process what an answer says about the process that sent it."""
+        if incarnation != self.incarnation:
+            return
+        previous_limit = self.rate.limit
+        self.rate.on_answer(status.rate_limit, answered_at)
+        if self.rate.limit != previous_limit:
+            self._on_rate_limit_change(previous_limit)
+        if status.is_leaving:
+            _LEAVING_ANSWERS.inc()
+            if not self.is_leaving:
+                self.is_leaving = True
+                self._log_status('leaving')
+
+    def _on_rate_limit_change(self, previous_limit: float) -> None:
+        is_limited = math.isfinite(self.rate.limit)
+        _RATE_LIMIT.set(self.rate.limit if is_limited else 0.0)
+        if not is_limited:
+            self._log_status('rate_limit_ended', limit=previous_limit)
+        elif math.isinf(previous_limit):
+            self._log_status('rate_limited', limit=self.rate.limit)
+
+    def on_send(self, now: float) -> None:
+        """Count a request that is sent to the upstream."""
+        self.rate.on_send(now)
+        if not self.rate.is_exceeded():
+            return
+        _OVER_RATE_LIMIT.inc()
+        if now - self.rate_logged_at < _RATE_LOG_INTERVAL_S:
+            return
+        self.rate_logged_at = now
+        self._log_status(
+            'rate_exceeded',
+            limit=self.rate.limit,
+            limited_for_ms=round((now - self.rate.limited_since) * 1000),
+            sent=self.rate.sent_in_window(),
+            window_s=upstream_rate.WINDOW_S,
+        )
+
+    def _log_status(self, event: str, **fields: object) -> None:
+        decisions.write(
+            'upstream',
+            event,
+            service=self.options.service,
+            instance=self.instance_id,
+            incarnation=self.incarnation,
+            state=self.state.name.lower(),
+            **fields,
+        )
+
     def _end_stall(self, now: float) -> None:
         _LOG.info('Upstream is no longer stalled and gets new calls.')
         self.is_stalled = False
@@ -294,6 +376,10 @@
             'limit': self.limit.limit,
             'capacity': self.capacity(now) if self.is_ready() else 0,
             'is_stalled': self.is_stalled,
+            'is_leaving': self.is_leaving,
+            'rate_limit': (
+                self.rate.limit if math.isfinite(self.rate.limit) else None
+            ),
             'announced_ago_s': round(now - self.announced_at, 3),
             'answered_ago_s': round(now - self.answered_at, 3),
             'connections_busy': len(self.client.busy) if self.client else 0,
--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -91,6 +91,8 @@
     headers: list[tuple[bytes, bytes]]
     # Complete body.
     body: bytes
+    # Time at which the headers were complete, seconds of clock.recent().
+    headers_at: float = 0.0
 
 
 class _Connection(asyncio.Protocol):
@@ -123,6 +125,7 @@
         self.header_bytes = 0
         # Whether the header section has ended; later headers are trailers.
         self.has_all_headers = False
+        self.headers_at = 0.0
         self.body = bytearray()
         # Number of bytes received since the request, and how many of them
         # belong to bodies.
@@ -270,6 +273,7 @@
 
     def on_headers_complete(self) -> None:
         self.has_all_headers = True
+        self.headers_at = clock.recent()
         self.status = self.parser.get_status_code()
         if self._content_length() > self.max_answer_bytes:
             self.fail(errors.ErrorKind.ANSWER_TOO_LARGE)
@@ -334,7 +338,10 @@
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(
                 UpstreamAnswer(
-                    self.status, self.answer_headers, bytes(self.body)
+                    self.status,
+                    self.answer_headers,
+                    bytes(self.body),
+                    self.headers_at,
                 )
             )
 
--- /dev/null
+++ b/godwitstall/node/upstream_status.py
@@ -0,0 +1,59 @@
+"""What an upstream says about itself in the headers of its answers.
+
+An upstream in need names the rate at which it accepts requests, and one that
+is about to exit says that it leaves. A value that cannot be read counts as
+absent, so that a faulty upstream cannot stop its own traffic.
+
+Example: status = upstream_status.parse(upstream_status.DEFAULT_NAMES, answer)
+"""
+
+import dataclasses
+import math
+import re
+
+from godwitstall.node import headers
+from godwitstall.node import upstream_client
+
+# A decimal number; float() also accepts 'nan', '1e9' and '1_0'.
+_DECIMAL = re.compile(rb'\d{1,12}(\.\d{1,12})?')
+
+_IS_LEAVING = b'1'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Names:
+    """Names of the headers, in lower case."""
+
+    # Requests per second that the upstream accepts from all nodes together.
+    rate_limit: bytes
+    # '1' if the upstream is about to exit.
+    leaving: bytes
+
+
+DEFAULT_NAMES = Names(headers.RATE_LIMIT, headers.LEAVING)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """Status of an upstream process at the time of one answer."""
+
+    # Requests per second that the upstream accepts from all nodes together;
+    # infinite if it names no limit.
+    rate_limit: float = math.inf
+    # Whether the upstream is about to exit.
+    is_leaving: bool = False
+
+
+def parse(
+    names: Names, answer: upstream_client.UpstreamAnswer
+) -> UpstreamStatus:
+    """Return the status in the headers of a complete answer."""
+    limit_text = upstream_client.find_header(answer.headers, names.rate_limit)
+    leaving_text = upstream_client.find_header(answer.headers, names.leaving)
+    rate_limit = math.inf
+    if limit_text is not None and _DECIMAL.fullmatch(limit_text.strip()):
+        rate_limit = float(limit_text)
+    is_leaving = leaving_text is not None and (
+        leaving_text.strip() == _IS_LEAVING
+    )
+    return UpstreamStatus(rate_limit, is_leaving)
