--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,6 +3,7 @@
 from godwitstall import messages
 from godwitstall.node import dialect
 from godwitstall.node import gateway_node
+from godwitstall.node import upstream_status
 from godwitstall import settings
 
 # Header names of a fictitious mesh.
@@ -17,6 +18,7 @@
     signature=b'x-signature',
     retry_after=b'retry-after',
     statuses={},
+    status_names=upstream_status.Names(b'x-limit', b'x-leaving'),
 )
 
 
