Keep the rate limit that an upstream names

Ruled out: a limit lost at a restart, and requests that take another way to the upstream.

A call takes a token together with its slot, and once more if its claim was slow. The queue is as long as the limit serves within its longest wait, and the load report names the concurrency that the limit allows, so that entry nodes choose other upstreams. Entry nodes remember a limit by the process that named it (routing/notices.py) and send it with each call: an owner process that has just started adopts it until its upstream answers. Why it works: the requests that count are those of nodes that were told, and exactly those bring the limit along.

Messages: Call and LoadReport have two more fields each, at their ends.

--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -24,6 +24,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 import msgspec
@@ -173,6 +174,10 @@
     limit: int = 0
     # State of the upstream.
     state: UpstreamState = UpstreamState.DOWN
+    # Incarnation of the upstream process; 0 if there is none.
+    upstream_incarnation: int = 0
+    # Requests per second that the upstream accepts; infinite without a limit.
+    rate_limit: float = math.inf
 
 
 class Call(msgspec.Struct, array_like=True, tag=1):
@@ -217,6 +222,10 @@
     order: int = 0
     # Whether a request that is already running needs this call.
     is_onward: bool = False
+    # Upstream process of the owner that named a limit to the entry node, and
+    # that limit, requests per second; 0 and infinite if none did.
+    limited_incarnation: int = 0
+    rate_limit: float = math.inf
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -53,6 +53,9 @@
 # is jittered by half, so that rejected callers do not retry together.
 _CHAIN_RETRY_AFTER_MS = 1000
 
+# Longest time from the token for a call to its dispatch, seconds.
+_MAX_TOKEN_AGE_S = 0.25
+
 # Maximum number of digits in an upstream's Retry-After header. A longer value
 # is ignored.
 _MAX_RETRY_AFTER_DIGITS = 4
@@ -125,11 +128,17 @@
         """Return the load report that answers carry to entry nodes."""
         is_usable = self.upstream.is_ready() and not self.upstream.is_stalled
         limit = self.upstream.capacity(clock.recent()) if is_usable else 0
+        rate = self.upstream.rate
+        rate_concurrency = rate.concurrency()
+        if rate_concurrency is not None:
+            limit = min(limit, rate_concurrency)
         return messages.LoadReport(
             self.slots.running,
             len(self.slots.queue),
             limit,
             self.upstream.state,
+            self.upstream.incarnation,
+            rate.limit,
         )
 
     async def handle(self, call: messages.Call) -> messages.Answer:
@@ -140,6 +149,9 @@
         """
         deadline = clock.recent() + call.deadline_ms / 1000
         self.active += 1
+        self.upstream.adopt_rate_limit(
+            call.rate_limit, call.limited_incarnation
+        )
         try:
             answer = await self._admit(call, deadline)
         except errors.RequestError as e:
@@ -241,6 +253,7 @@
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
         attempt_id = messages.AttemptId(secrets.token_hex(16))
+        granted_at = clock.recent()
         earlier_answer = await self.claimer.claim(
             call, attempt_id, exchange.request_digest(call), deadline
         )
@@ -251,6 +264,7 @@
             # claim, so this view is at least as new as the entry node's.
             if call.key_id and self.view.key_by_id(call.key_id) is None:
                 raise errors.RequestError(errors.ErrorKind.KEY_UNKNOWN)
+            self._renew_token(granted_at)
             answer = await self._dispatch(call, deadline)
         except errors.RequestError as e:
             if errors.ANSWERS[e.kind].outcome is errors.Outcome.NOT_RUN:
@@ -269,6 +283,19 @@
             self.claimer.complete_unknown(call, attempt_id)
         return answer
 
+    def _renew_token(self, granted_at: float) -> None:
+        """Take another token of the upstream's rate after a slow claim.
+
+        Otherwise calls whose claims were delayed together would reach the
+        upstream together.
+        """
+        now = clock.recent()
+        if now - granted_at < _MAX_TOKEN_AGE_S:
+            return
+        if not self.upstream.rate.may_send(now):
+            raise errors.RequestError(errors.ErrorKind.OVERLOADED)
+        self.upstream.rate.take(now)
+
     async def _dispatch(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
--- a/godwitstall/node/slots.py
+++ b/godwitstall/node/slots.py
@@ -58,7 +58,7 @@
         now = clock.recent()
         self.shares.on_arrival(call.is_onward, now)
         if not self.queue and self.upstream.may_dispatch(self.running, now):
-            self._occupy(call.is_onward)
+            self._occupy(call.is_onward, now)
             _QUEUE_WAIT_SECONDS.observe(
                 0.0, priority=call.priority.name.lower()
             )
@@ -74,6 +74,7 @@
             call.order,
             call.is_onward,
         )
+        self.queue.max_length = self._max_queued()
         shed = self.queue.push(item, now)
         self.has_queued_calls.set()
         if shed is not None:
@@ -95,6 +96,7 @@
     def release(self, is_onward: bool, held_s: float) -> None:
         """Release a slot that a call has held for held_s seconds."""
         self.shares.on_end(is_onward, held_s)
+        self.upstream.rate.on_end(held_s)
         self._free(is_onward)
 
     def grant_free_slots(self) -> None:
@@ -106,7 +108,7 @@
                 break
             future: asyncio.Future[None] = item.payload
             if not future.done():
-                self._occupy(item.is_onward)
+                self._occupy(item.is_onward, now)
                 future.set_result(None)
         self._expire_queued(now)
 
@@ -119,7 +121,15 @@
             if not self.queue:
                 self.has_queued_calls.clear()
 
-    def _occupy(self, is_onward: bool) -> None:
+    def _max_queued(self) -> int:
+        """Return the length of the queue; a limited rate shortens it."""
+        max_queued = self.upstream.rate.max_queued(self.queue.max_wait_s)
+        if max_queued is None:
+            return self.upstream.options.max_queue
+        return min(max_queued, self.upstream.options.max_queue)
+
+    def _occupy(self, is_onward: bool, now: float) -> None:
+        self.upstream.rate.take(now)
         self.running += 1
         self.running_new += not is_onward
 
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -234,17 +234,26 @@
         if incarnation != self.incarnation:
             return
         previous_limit = self.rate.limit
-        self.rate.on_answer(status.rate_limit, answered_at)
-        if self.rate.limit != previous_limit:
-            self._on_rate_limit_change(previous_limit)
+        self.rate.on_answer(status.rate_limit, answered_at, clock.recent())
+        self._on_rate_limit_change(previous_limit)
         if status.is_leaving:
             _LEAVING_ANSWERS.inc()
             if not self.is_leaving:
                 self.is_leaving = True
                 self._log_status('leaving')
 
+    def adopt_rate_limit(self, limit: float, incarnation: int) -> None:
+        """Adopt a limit that this process named to another node."""
+        if incarnation != self.incarnation:
+            return
+        previous_limit = self.rate.limit
+        self.rate.adopt(limit, clock.recent())
+        self._on_rate_limit_change(previous_limit)
+
     def _on_rate_limit_change(self, previous_limit: float) -> None:
-        is_limited = math.isfinite(self.rate.limit)
+        if self.rate.limit == previous_limit:
+            return
+        is_limited = self.rate.is_limited()
         _RATE_LIMIT.set(self.rate.limit if is_limited else 0.0)
         if not is_limited:
             self._log_status('rate_limit_ended', limit=previous_limit)
@@ -298,7 +307,7 @@
         """Return whether another request may be dispatched now."""
         if not self.is_ready() or self.is_stalled:
             return False
-        return running < self.capacity(now)
+        return running < self.capacity(now) and self.rate.may_send(now)
 
     async def run(self) -> None:
         """Check for missing announcements and stalls until cancelled."""
@@ -378,7 +387,7 @@
             'is_stalled': self.is_stalled,
             'is_leaving': self.is_leaving,
             'rate_limit': (
-                self.rate.limit if math.isfinite(self.rate.limit) else None
+                self.rate.limit if self.rate.is_limited() else None
             ),
             'announced_ago_s': round(now - self.announced_at, 3),
             'answered_ago_s': round(now - self.answered_at, 3),
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -15,6 +15,7 @@
 import typing
 
 from godwitstall import messages
+from godwitstall.routing import notices as notices_module
 from godwitstall.routing import view as view_module
 
 # Load up to which calls stay in the own zone, as a share of the limit. A
@@ -80,6 +81,8 @@
         self._own_zone = own_zone
         self._random = random
         self._stats: dict[messages.NodeId, _MemberStats] = {}
+        # What upstreams told this node in their answers.
+        self.notices = notices_module.Notices()
         # Members that accept work, by service: own zone, other zones.
         self._candidate_cache: dict[
             str, tuple[list[messages.Member], list[messages.Member]]
@@ -130,6 +133,7 @@
         stats = self._stats_of(node_id)
         stats.outstanding = max(stats.outstanding - 1, 0)
         if load is not None:
+            self.notices.on_report(node_id, load)
             stats.reported = load.queued + load.in_flight
             stats.limit = max(load.limit, 1)
             stats.reported_at = now
--- a/tests/node/test_named_rate_limit.py
+++ b/tests/node/test_named_rate_limit.py
@@ -7,10 +7,13 @@
 
 import asyncio
 import collections.abc
+import typing
 
 import pytest
 
 from godwitstall import clock
+from godwitstall import errors
+from godwitstall import messages
 from tests import simulated_fleet
 
 _LIMIT_PER_S = 15.0
@@ -22,6 +25,8 @@
 _ACCEPTED_RATIO = 1.5
 _ACCEPTED_REQUESTS = 5
 _REACTION_S = 3.0
+# Longest time to a refusal, seconds: the wait in the queues of two owners.
+_MAX_REFUSAL_S = 1.1
 # Age of the answer from which an entry node counts as informed, seconds.
 _INFORMED_AFTER_S = 0.5
 
@@ -64,6 +69,27 @@
     )
 
 
+class _DelayedClaimer:
+    """Confirms all claims at one moment, and at once after it."""
+
+    def __init__(self, confirmed_at: float) -> None:
+        self.confirmed_at = confirmed_at
+        self.released_count = 0
+        self.session = self
+
+    def may_serve(self, now: float) -> bool:
+        return True
+
+    async def claim(self, *_: object) -> None:
+        await asyncio.sleep(self.confirmed_at - clock.now())
+
+    async def complete(self, *_: object) -> None:
+        pass
+
+    async def release_and_wait(self, *_: object) -> None:
+        self.released_count += 1
+
+
 def _check_limit(
     fleet: simulated_fleet.Fleet,
     name: str,
@@ -107,13 +133,124 @@
     async def scenario() -> None:
         await fleet.load(_ENTRIES, 'siop', 150.0, 2.0)
         named_at = clock.now()
-        fleet.upstreams['a'].headers = _LIMITED
+        fleet.upstreams['a'].headers = [(b'x-limit', b'5')]
         load = asyncio.create_task(fleet.load(_ENTRIES, 'siop', 150.0, 16.0))
         await asyncio.sleep(7.0)
         fleet.stop('a')
         await asyncio.sleep(pause_s)
         fleet.start('a')
         await load
-        _check_limit(fleet, 'a', named_at + _REACTION_S, excused='a')
+        _check_limit(fleet, 'a', named_at + _REACTION_S, 'a', 5.0)
+
+    fleet.run(scenario(), monkeypatch)
+
+
+def test_service_with_limits_only_refuses_the_rest_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against refusals that are held, or that lack a retry time."""
+    fleet = simulated_fleet.Fleet(_SERVICES)
+
+    async def scenario() -> None:
+        for name in ('a', 'b'):
+            fleet.upstreams[name].headers = _LIMITED
+        await fleet.load(_ENTRIES, 'siop', 100.0, 10.0)
+        for name in ('a', 'b'):
+            _check_limit(fleet, name, 1000.0 + _REACTION_S)
+
+    fleet.run(scenario(), monkeypatch)
+    # Both upstreams are used up to their limits.
+    assert fleet.statuses[200] >= 0.9 * 2 * _LIMIT_PER_S * 10.0
+    assert set(fleet.statuses) == {200, 503}
+    assert all(
+        refusal.has_retry_time and refusal.took_s <= _MAX_REFUSAL_S
+        for refusal in fleet.refusals
+    )
+
+
+def test_limit_ends_with_the_answers_that_name_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a limit that is kept after the upstream's need."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        fleet.upstreams['a'].headers = _LIMITED
+        await fleet.load(['a', 'c'], 'siop', 60.0, 5.0)
+        fleet.upstreams['a'].headers = []
+        await asyncio.sleep(1.5)
+        # The first answer without a limit ends it.
+        await fleet.load(['a', 'c'], 'siop', 5.0, 1.0)
+        fleet.statuses.clear()
+        await fleet.load(['a', 'c'], 'siop', 60.0, 5.0)
+
+    fleet.run(scenario(), monkeypatch)
+    assert fleet.statuses == {200: 300}
+
+
+@pytest.mark.parametrize(
+    'value', [b'', b'many', b'-3', b'nan', b'inf', b'1e3', b'9' * 40, b'\xff']
+)
+def test_unreadable_limit_counts_as_absent(
+    monkeypatch: pytest.MonkeyPatch, value: bytes
+) -> None:
+    """Guards against a malformed header that stops the traffic."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        fleet.upstreams['a'].headers = [(b'x-limit', value)]
+        await fleet.load(['a', 'c'], 'siop', 60.0, 3.0)
+
+    fleet.run(scenario(), monkeypatch)
+    assert fleet.statuses == {200: 180}
+
+
+def test_next_process_has_no_limit(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a limit that also applies to the next process."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        fleet.upstreams['a'].headers = _LIMITED
+        await fleet.load(['a', 'c'], 'siop', 60.0, 3.0)
+        fleet.replace_upstream('a', 50)
+        fleet.publish()
+        fleet.statuses.clear()
+        await fleet.load(['a', 'c'], 'siop', 60.0, 3.0)
+
+    fleet.run(scenario(), monkeypatch)
+    assert fleet.statuses == {200: 180}
+
+
+def test_requests_of_slow_claims_observe_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against claims that are delayed together and end together."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        await fleet.load(['c'], 'siop', 10.0, 1.0)
+        fleet.upstreams['a'].headers = _LIMITED
+        await fleet.load(['c'], 'siop', 10.0, 3.0)
+        owner = fleet.nodes['a'].owner
+        claimer: typing.Any = _DelayedClaimer(clock.now() + 3.5)
+        owner.claimer = claimer
+        calls = []
+        for number in range(200):
+            fleet.sent[1000 + number] = 'c', clock.now()
+            call = messages.Call(
+                service=messages.ServiceName('siop'),
+                deadline_ms=5000,
+                attempts=2,
+                operation_id=messages.OperationId(f'o{number}'),
+                request_id=b'%d' % (1000 + number),
+            )
+            calls.append(asyncio.create_task(owner.handle(call)))
+            await asyncio.sleep(0.03)
+        answers = await asyncio.gather(*calls)
+        _check_limit(fleet, 'a', 1000.0 + _REACTION_S)
+        refused = sum(a.kind is errors.ErrorKind.OVERLOADED for a in answers)
+        # Each call that is not sent releases its claim.
+        assert claimer.released_count > 0
+        assert claimer.released_count <= refused
 
     fleet.run(scenario(), monkeypatch)
--- a/tests/recorded/recorder.py
+++ b/tests/recorded/recorder.py
@@ -24,6 +24,7 @@
 
 FOLDER = pathlib.Path(__file__).parent
 MESSAGES = FOLDER / 'messages.json'
+EARLIER_MESSAGES = FOLDER / 'earlier_messages.json'
 DISKS = FOLDER / 'disks'
 EXPECTED = FOLDER / 'expected.json'
 
--- a/tests/recorded/test_recorded.py
+++ b/tests/recorded/test_recorded.py
@@ -5,6 +5,7 @@
 import pathlib
 import shutil
 
+import msgspec
 import pytest
 
 from godwitstall import codec
@@ -13,6 +14,10 @@
 from tests.recorded import recorder
 
 _MESSAGES: dict[str, str] = json.loads(recorder.MESSAGES.read_text())
+# Messages to which fields were added later, as the build before wrote them.
+_EARLIER_MESSAGES: dict[str, str] = json.loads(
+    recorder.EARLIER_MESSAGES.read_text()
+)
 
 
 def test_every_message_is_recorded() -> None:
@@ -32,6 +37,32 @@
     assert codec.decode(data) == message
 
 
+def _extends(values: object, earlier: object) -> bool:
+    """Return whether arrays only have more elements at their ends."""
+    if not isinstance(values, list) or not isinstance(earlier, list):
+        return values == earlier
+    return len(values) >= len(earlier) and all(
+        _extends(value, earlier_value)
+        for value, earlier_value in zip(values, earlier, strict=False)
+    )
+
+
+@pytest.mark.parametrize('name', _EARLIER_MESSAGES)
+def test_message_extends_its_earlier_bytes(name: str) -> None:
+    """Guards against a new field that moves those which old peers know.
+
+    Peers of an earlier build ignore the elements at the end of an array, and
+    send arrays without them.
+    """
+    data = bytes.fromhex(_EARLIER_MESSAGES[name])
+    earlier = msgspec.msgpack.decode(data)
+    decoded = codec.decode(data)
+    for message in decoded, recorder.sample(type(decoded)):
+        values = msgspec.msgpack.decode(codec.encode(message))
+        assert _extends(values, earlier)
+        assert values != earlier
+
+
 async def _set_addresses(fleet: harness.Fleet) -> None:
     """Replace the recorded addresses of the replicas by those of this run."""
     for slot, process in fleet.control.items():
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -27,6 +27,7 @@
 from godwitstall.node import announcements
 from godwitstall.node import gateway_node
 from godwitstall.node import upstream_client
+from godwitstall import settings
 from tests import gateways
 
 # Delay of a message between two nodes, seconds.
@@ -73,6 +74,14 @@
     sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A response with status 503."""
+
+    took_s: float
+    has_retry_time: bool
+
+
 class Upstream:
     """A simulated upstream; serves as the client of its node as well."""
 
@@ -160,6 +169,7 @@
         self.passed_on = collections.defaultdict(list)
         # Statuses of all responses to clients.
         self.statuses: collections.Counter[int] = collections.Counter()
+        self.refusals: list[Refusal] = []
         self.states = dict.fromkeys(services, messages.UpstreamState.READY)
         self.view_index = 0
         self.tasks: list[asyncio.Task[None]] = []
@@ -201,6 +211,9 @@
         """Start a node, or start it again after stop()."""
         node = gateways.make_node(self.services[name])
         node.options.node_id = messages.NodeId(name)
+        # As on the platform: all slots from the start.
+        node.options.limit_policy = settings.LimitPolicy.FIXED
+        node.options.warmup_s = 0.0
         forwarder: typing.Any = _Forwarder(self)
         node.forwarder = node.relay.forwarder = forwarder
         node.relay.picker._random = random.Random(self.random.random())
@@ -292,6 +305,13 @@
             )
         )
         self.statuses[response.status] += 1
+        if response.status == 503:
+            has_retry_time = any(
+                name == gateways.DIALECT.retry_after
+                for name, _ in response.headers
+            )
+            took_s = clock.now() - self.sent[number][1]
+            self.refusals.append(Refusal(took_s, has_retry_time))
         if self.nodes.get(entry) is node and response.encoded_headers:
             self.passed_on[entry].append(
                 (clock.now(), _parse(response.encoded_headers))
