Stop using an upstream that says in an answer that it leaves

That an upstream leaves was known from announcements only, which take another way than the answers: a late 'ready' to an owner process that has just started makes every node use the upstream again.

An entry node remembers leaving processes from the load reports of the answers that it passes on, and chooses none of them, whatever control says. Calls in the queue of the owner are refused as not run at once and go elsewhere, instead of waiting until their time is over.

--- a/godwitstall/node/slots.py
+++ b/godwitstall/node/slots.py
@@ -102,6 +102,8 @@
     def grant_free_slots(self) -> None:
         """Grant free slots to queued calls and expire calls that are late."""
         now = clock.recent()
+        if self.upstream.has_drained:
+            self._reject_queued(now)
         while self.queue and self.upstream.may_dispatch(self.running, now):
             item = self.queue.pop(now, self._prefers_new(now))
             if item is None:
@@ -154,6 +156,11 @@
             )
         )
 
+    def _reject_queued(self, now: float) -> None:
+        """Reject all queued calls; other upstreams can run them."""
+        while (item := self.queue.pop(now)) is not None:
+            self._reject(item, errors.ErrorKind.UPSTREAM_UNREACHABLE)
+
     def _expire_queued(self, now: float) -> None:
         for item in self.queue.expire(now):
             kind = errors.ErrorKind.OVERLOADED
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -241,6 +241,7 @@
             if not self.is_leaving:
                 self.is_leaving = True
                 self._log_status('leaving')
+            self.set_state(messages.UpstreamState.DRAINING)
 
     def adopt_rate_limit(self, limit: float, incarnation: int) -> None:
         """Adopt a limit that this process named to another node."""
--- a/godwitstall/routing/notices.py
+++ b/godwitstall/routing/notices.py
@@ -1,8 +1,9 @@
 """What this node was told by upstreams in the answers that it passed on.
 
-An owner node that starts again knows nothing of the answers before. The nodes
-that passed on such answers remember them by the process that sent them, so
-that a limit outlives a restart of its owner.
+An owner node that starts again knows nothing of the answers before, and
+control may not have heard of them. The nodes that passed on such answers
+remember them by the process that sent them, so that a leaving process gets no
+new calls and a limit outlives a restart of its owner.
 
 Example: notices.on_report(node_id, answer.load)
 """
@@ -11,26 +12,47 @@
 
 from godwitstall import messages
 
+# Largest number of nodes whose upstreams are remembered as leaving.
+MAX_REMEMBERED_NODES = 4096
+
 
 class Notices:
     """Notices of upstream processes, by the node id of their owner."""
 
     def __init__(self) -> None:
+        # Incarnation of the last upstream process that was leaving, least
+        # recently noticed first.
+        self._left: dict[messages.NodeId, int] = {}
         # Upstream process that named a limit, and the limit, requests per
         # second.
         self._limits: dict[messages.NodeId, tuple[int, float]] = {}
 
     def on_report(
         self, node_id: messages.NodeId, load: messages.LoadReport
-    ) -> None:
-        """Remember what a report says."""
+    ) -> bool:
+        """Remember what a report says; return whether a process left."""
         incarnation = load.upstream_incarnation
         if not incarnation:
-            return
+            return False
         if math.isfinite(load.rate_limit):
             self._limits[node_id] = incarnation, load.rate_limit
         else:
             self._limits.pop(node_id, None)
+        if load.state is not messages.UpstreamState.DRAINING:
+            return False
+        if self._left.get(node_id, 0) >= incarnation:
+            return False
+        self._left.pop(node_id, None)
+        self._left[node_id] = incarnation
+        if len(self._left) > MAX_REMEMBERED_NODES:
+            del self._left[next(iter(self._left))]
+        return True
+
+    def has_left(self, member: messages.Member) -> bool:
+        """Return whether the upstream process of a member is leaving."""
+        return member.upstream_incarnation <= self._left.get(
+            member.node_id, -1
+        )
 
     def set_limit(self, node_id: messages.NodeId, call: messages.Call) -> None:
         """Add to a call the limit that the upstream of its owner named."""
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -133,7 +133,8 @@
         stats = self._stats_of(node_id)
         stats.outstanding = max(stats.outstanding - 1, 0)
         if load is not None:
-            self.notices.on_report(node_id, load)
+            if self.notices.on_report(node_id, load):
+                self._candidate_cache.clear()
             stats.reported = load.queued + load.in_flight
             stats.limit = max(load.limit, 1)
             stats.reported_at = now
@@ -212,6 +213,7 @@
         return (
             member.state is messages.UpstreamState.READY
             and not member.is_drained
+            and not self.notices.has_left(member)
             and not (rule is not None and rule.is_withdrawn)
         )
 
--- a/tests/node/test_leaving_in_answers.py
+++ b/tests/node/test_leaving_in_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall.node import upstream_status
 from tests import simulated_fleet
 
 _LEAVING = [(b'x-leaving', b'1')]
@@ -101,3 +102,29 @@
         assert sum(a.at > left_at for a in upstream.arrivals) > 30
 
     fleet.run(scenario(), monkeypatch)
+
+
+def test_queued_requests_go_elsewhere_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against requests that wait for an upstream that has left."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        fleet.upstreams['a'].headers = [(b'x-limit', b'8')]
+        await fleet.call('c', 'siop')
+        upstream = fleet.nodes['a'].upstream
+        load = asyncio.create_task(fleet.load(['c'], 'siop', 100.0, 0.1))
+        await asyncio.sleep(0.1)
+        assert len(fleet.nodes['a'].owner.slots.queue) == 4
+        fleet.refusals.clear()
+        upstream.on_status(
+            upstream_status.UpstreamStatus(is_leaving=True),
+            upstream.incarnation,
+            clock.now(),
+        )
+        await load
+        assert len(fleet.refusals) >= 4
+        assert max(refusal.took_s for refusal in fleet.refusals) < 0.15
+
+    fleet.run(scenario(), monkeypatch)
