Wait for the disks of the voters in the test of random losses

Cause: the test began its next round too early. It compared the slots of the voters only, and after the loss of a disk the slot is still a voter with the lost disk until the leader has replaced it. Two more losses are then three, of which the fleet tolerates two. The replicas act rightly.

Change: the voters that all running replicas agree on must have the disks that run, by slot and disk id. The check is stricter than before.

--- a/tests/consensus/test_discovery.py
+++ b/tests/consensus/test_discovery.py
@@ -49,16 +49,32 @@
         self.format(slot, False)
         return slot
 
-    def agreed_voters(self) -> set[str]:
+    def agreed_voters(self) -> dict[messages.SlotId, messages.DiskId]:
         """Return the voters all running replicas agree on, else nothing."""
         voter_sets = {
-            frozenset(member.replica.voters.current)
+            frozenset(
+                (slot, voter.disk_id)
+                for slot, voter in member.replica.voters.current.items()
+            )
             for member in self.members.values()
         }
-        return set(voter_sets.pop()) if len(voter_sets) == 1 else set()
+        return dict(voter_sets.pop()) if len(voter_sets) == 1 else {}
+
+    def has_voters(self, *slots: messages.SlotId) -> bool:
+        """Return whether these are the voters, with the disks that run.
+
+        After the loss of a disk its slot is a voter with the lost disk until
+        the leader has replaced it, and the fleet tolerates one loss less.
+        """
+        voters = self.agreed_voters()
+        return voters.keys() == set(slots) and all(
+            voters[slot] == member.replica.disk.disk_id
+            for slot, member in self.members.items()
+            if slot in voters
+        )
 
     async def wait_for_voters(self, *slots: messages.SlotId) -> None:
-        await fleets.wait_until(lambda: self.agreed_voters() == set(slots))
+        await fleets.wait_until(lambda: self.has_voters(*slots))
 
 
 def test_all_replicas_become_voters(tmp_path: pathlib.Path) -> None:
