Keep a named limit when its owner node does not know it yet

And of two entry nodes that know limits of different age, the last one won.

Change: the report says None while the owner does not know, which changes nothing at the entry node; of the limits that calls bring along the lowest is adopted. The memory of limits is bounded like that of leaving processes.

--- a/godwitstall/limits/upstream_rate.py
+++ b/godwitstall/limits/upstream_rate.py
@@ -84,9 +84,16 @@
         elif answered_at - self.named_at >= _HOLD_S:
             self._remove_limit()
 
+    def is_known(self) -> bool:
+        """Return whether an answer or another node told about the limit."""
+        return math.isfinite(self.answered_at) or self.is_limited()
+
     def adopt(self, limit: float, now: float) -> None:
-        """Set a limit that another node knows, until the first answer."""
-        if math.isfinite(limit) and math.isinf(self.answered_at):
+        """Set a limit that another node knows, until the first answer.
+
+        Nodes may know limits of different age; the lowest is kept.
+        """
+        if math.isinf(self.answered_at) and limit < self.limit:
             self._set_limit(limit, now, now)
 
     def _set_limit(self, limit: float, named_at: float, now: float) -> None:
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -176,8 +176,9 @@
     state: UpstreamState = UpstreamState.DOWN
     # Incarnation of the upstream process; 0 if there is none.
     upstream_incarnation: int = 0
-    # Requests per second that the upstream accepts; infinite without a limit.
-    rate_limit: float = math.inf
+    # Requests per second that the upstream accepts; infinite without a limit,
+    # None if the owner node does not know because it has just started.
+    rate_limit: float | None = None
 
 
 class Call(msgspec.Struct, array_like=True, tag=1):
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -138,7 +138,7 @@
             limit,
             self.upstream.state,
             self.upstream.incarnation,
-            rate.limit,
+            rate.limit if rate.is_known() else None,
         )
 
     async def handle(self, call: messages.Call) -> messages.Answer:
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -265,7 +265,7 @@
     ) -> messages.Answer:
         call.deadline_ms = max(1, int((deadline - clock.recent()) * 1000))
         self.picker.on_dispatch(member.node_id)
-        self.picker.notices.set_limit(member.node_id, call)
+        self.picker.notices.add_limit(member.node_id, call)
         answer: messages.Answer | None = None
         try:
             if member.node_id == self.options.node_id:
--- a/godwitstall/routing/notices.py
+++ b/godwitstall/routing/notices.py
@@ -9,12 +9,15 @@
 """
 
 import math
+import typing
 
 from godwitstall import messages
 
-# Largest number of nodes whose upstreams are remembered as leaving.
+# Largest number of nodes whose upstreams are remembered for one reason.
 MAX_REMEMBERED_NODES = 4096
 
+_Value = typing.TypeVar('_Value')
+
 
 class Notices:
     """Notices of upstream processes, by the node id of their owner."""
@@ -24,7 +27,7 @@
         # recently noticed first.
         self._left: dict[messages.NodeId, int] = {}
         # Upstream process that named a limit, and the limit, requests per
-        # second.
+        # second, least recently named first.
         self._limits: dict[messages.NodeId, tuple[int, float]] = {}
 
     def on_report(
@@ -34,28 +37,43 @@
         incarnation = load.upstream_incarnation
         if not incarnation:
             return False
-        if math.isfinite(load.rate_limit):
-            self._limits[node_id] = incarnation, load.rate_limit
-        else:
-            self._limits.pop(node_id, None)
+        if load.rate_limit is not None:
+            self._set_limit(node_id, incarnation, load.rate_limit)
         if load.state is not messages.UpstreamState.DRAINING:
             return False
         if self._left.get(node_id, 0) >= incarnation:
             return False
-        self._left.pop(node_id, None)
-        self._left[node_id] = incarnation
-        if len(self._left) > MAX_REMEMBERED_NODES:
-            del self._left[next(iter(self._left))]
+        _remember(self._left, node_id, incarnation)
         return True
 
+    def _set_limit(
+        self, node_id: messages.NodeId, incarnation: int, limit: float
+    ) -> None:
+        if math.isfinite(limit):
+            _remember(self._limits, node_id, (incarnation, limit))
+        else:
+            self._limits.pop(node_id, None)
+
     def has_left(self, member: messages.Member) -> bool:
         """Return whether the upstream process of a member is leaving."""
         return member.upstream_incarnation <= self._left.get(
             member.node_id, -1
         )
 
-    def set_limit(self, node_id: messages.NodeId, call: messages.Call) -> None:
+    def add_limit(self, node_id: messages.NodeId, call: messages.Call) -> None:
         """Add to a call the limit that the upstream of its owner named."""
         call.limited_incarnation, call.rate_limit = self._limits.get(
             node_id, (0, math.inf)
         )
+
+
+def _remember(
+    values: dict[messages.NodeId, _Value],
+    node_id: messages.NodeId,
+    value: _Value,
+) -> None:
+    """Set the value of a node, and forget the oldest one above the limit."""
+    values.pop(node_id, None)
+    values[node_id] = value
+    if len(values) > MAX_REMEMBERED_NODES:
+        del values[next(iter(values))]
--- a/tests/limits/test_upstream_rate.py
+++ b/tests/limits/test_upstream_rate.py
@@ -79,8 +79,11 @@
 def test_adopted_limit_yields_to_answers() -> None:
     """Guards against a limit of another node that outlives the upstream's."""
     rate = upstream_rate.UpstreamRate()
+    assert not rate.is_known()
     rate.adopt(10.0, 1.0)
+    rate.adopt(40.0, 1.1)
     assert rate.limit == 10.0
+    assert rate.is_known()
     rate.on_answer(math.inf, 2.5, 2.5)
     assert math.isinf(rate.limit)
     rate.adopt(10.0, 3.0)
--- a/tests/recorded/recorder.py
+++ b/tests/recorded/recorder.py
@@ -13,6 +13,7 @@
 import shutil
 import tempfile
 import time
+import types
 import typing
 import uuid
 
@@ -53,6 +54,8 @@
     origin = typing.get_origin(kind)
     if origin is typing.Annotated:
         return sample(typing.get_args(kind)[0], place)
+    if origin is types.UnionType:
+        return sample(typing.get_args(kind)[0], place)
     if origin is list:
         return [sample(typing.get_args(kind)[0], n) for n in range(2)]
     if isinstance(kind, typing.NewType):
