--- a/godwitstall/node/upstream_status.py
+++ b/godwitstall/node/upstream_status.py
@@ -14,8 +14,8 @@
 from godwitstall.node import headers
 from godwitstall.node import upstream_client
 
-# A decimal number; float() also accepts 'nan', '1e9' and '1_0'.
-_DECIMAL = re.compile(rb'\d{1,12}(\.\d{1,12})?')
+# A decimal number; float() also accepts 'nan', 'inf', signs and '1_0'.
+_DECIMAL = re.compile(rb'(\d{1,12}\.?\d{0,24}|\.\d{1,24})(e-\d{1,2})?')
 
 _IS_LEAVING = b'1'
 
--- a/tests/node/test_leaving_in_answers.py
+++ b/tests/node/test_leaving_in_answers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 import pytest
 
@@ -22,25 +23,15 @@
 
 
 def _late_arrivals(
-    fleet: simulated_fleet.Fleet, name: str, excused: str = ''
+    fleet: simulated_fleet.Fleet, name: str
 ) -> list[simulated_fleet.Arrival]:
     """Return the requests of nodes that had been told, sent too late."""
-    told_at = {
-        entry: min(
-            (
-                at
-                for at, headers in answers
-                if dict(headers).get(_LEAVING[0][0])
-            ),
-            default=float('inf'),
-        )
-        for entry, answers in fleet.passed_on.items()
-    }
+    upstream = fleet.upstreams[name]
+    told_at = fleet.informed_at(upstream, b'x-leaving')
     return [
         arrival
-        for arrival in fleet.upstreams[name].arrivals
-        if arrival.entry != excused
-        and arrival.sent_at > told_at[arrival.entry] + _DRAIN_S
+        for arrival in upstream.arrivals
+        if arrival.sent_at > told_at.get(arrival.entry, math.inf) + _DRAIN_S
     ]
 
 
@@ -83,7 +74,7 @@
         await load
 
     fleet.run(scenario(), monkeypatch)
-    assert _late_arrivals(fleet, 'a', excused='a') == []
+    assert _late_arrivals(fleet, 'a') == []
 
 
 def test_next_process_of_a_left_upstream_gets_requests(
@@ -97,7 +88,6 @@
         await fleet.load(list(_SERVICES), 'siop', 60.0, 3.0)
         left_at = clock.now()
         upstream = fleet.replace_upstream('a', 50)
-        fleet.publish()
         await fleet.load(list(_SERVICES), 'siop', 60.0, 3.0)
         assert sum(a.at > left_at for a in upstream.arrivals) > 30
 
--- a/tests/node/test_named_rate_limit.py
+++ b/tests/node/test_named_rate_limit.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-import collections.abc
+import math
 import typing
 
 import pytest
@@ -33,35 +33,19 @@
 _SERVICES = {'a': 'siop', 'b': 'siop', 'c': 'gwydd', 'd': 'gwydd'}
 _ENTRIES = list(_SERVICES)
 
-_Scenario = collections.abc.Coroutine[object, object, None]
-
-
-def _informed_at(fleet: simulated_fleet.Fleet, entry: str) -> float:
-    """Return when an entry node first passed on an answer with a limit."""
-    return min(
-        (
-            at
-            for at, headers in fleet.passed_on[entry]
-            if dict(headers).get(b'x-limit')
-        ),
-        default=float('inf'),
-    )
-
 
 def _busiest_window(
-    fleet: simulated_fleet.Fleet,
-    name: str,
-    start: float,
-    excused: str = '',
+    fleet: simulated_fleet.Fleet, name: str, start: float
 ) -> int:
     """Return the most requests of informed nodes in one window."""
+    upstream = fleet.upstreams[name]
+    informed_at = fleet.informed_at(upstream, b'x-limit')
     times = [
         arrival.at
-        for arrival in fleet.upstreams[name].arrivals
+        for arrival in upstream.arrivals
         if arrival.at >= start
-        and arrival.entry != excused
         and arrival.at
-        >= _informed_at(fleet, arrival.entry) + _INFORMED_AFTER_S
+        >= informed_at.get(arrival.entry, math.inf) + _INFORMED_AFTER_S
     ]
     return max(
         (sum(t <= at < t + _WINDOW_S for at in times) for t in times),
@@ -94,11 +78,10 @@
     fleet: simulated_fleet.Fleet,
     name: str,
     start: float,
-    excused: str = '',
     limit: float = _LIMIT_PER_S,
 ) -> None:
     accepted = _ACCEPTED_RATIO * limit * _WINDOW_S + _ACCEPTED_REQUESTS
-    count = _busiest_window(fleet, name, start, excused)
+    count = _busiest_window(fleet, name, start)
     assert count <= accepted, (name, count, accepted)
 
 
@@ -140,7 +123,7 @@
         await asyncio.sleep(pause_s)
         fleet.start('a')
         await load
-        _check_limit(fleet, 'a', named_at + _REACTION_S, 'a', 5.0)
+        _check_limit(fleet, 'a', named_at + _REACTION_S, 5.0)
 
     fleet.run(scenario(), monkeypatch)
 
@@ -189,7 +172,8 @@
 
 
 @pytest.mark.parametrize(
-    'value', [b'', b'many', b'-3', b'nan', b'inf', b'1e3', b'9' * 40, b'\xff']
+    'value',
+    [b'', b'many', b'-3', b'nan', b'inf', b'1e3', b'1_0', b'9' * 40, b'\xff'],
 )
 def test_unreadable_limit_counts_as_absent(
     monkeypatch: pytest.MonkeyPatch, value: bytes
@@ -205,6 +189,23 @@
     assert fleet.statuses == {200: 180}
 
 
+@pytest.mark.parametrize(
+    'value', [b'2', b' 2.0 ', b'2.', b'.5', b'1.9999999999999998', b'5e-05']
+)
+def test_limit_in_any_notation_is_observed(
+    monkeypatch: pytest.MonkeyPatch, value: bytes
+) -> None:
+    """Guards against a limit that is ignored because of its digits."""
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+
+    async def scenario() -> None:
+        fleet.upstreams['a'].headers = [(b'x-limit', value)]
+        await fleet.load(['a', 'c'], 'siop', 60.0, 8.0)
+        _check_limit(fleet, 'a', 1000.0 + _REACTION_S, limit=float(value))
+
+    fleet.run(scenario(), monkeypatch)
+
+
 def test_next_process_has_no_limit(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against a limit that also applies to the next process."""
     fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
@@ -213,7 +214,6 @@
         fleet.upstreams['a'].headers = _LIMITED
         await fleet.load(['a', 'c'], 'siop', 60.0, 3.0)
         fleet.replace_upstream('a', 50)
-        fleet.publish()
         fleet.statuses.clear()
         await fleet.load(['a', 'c'], 'siop', 60.0, 3.0)
 
@@ -236,13 +236,12 @@
         owner.claimer = claimer
         calls = []
         for number in range(200):
-            fleet.sent[1000 + number] = 'c', clock.now()
             call = messages.Call(
                 service=messages.ServiceName('siop'),
                 deadline_ms=5000,
                 attempts=2,
                 operation_id=messages.OperationId(f'o{number}'),
-                request_id=b'%d' % (1000 + number),
+                request_id=b'%d' % fleet.add_request('c'),
             )
             calls.append(asyncio.create_task(owner.handle(call)))
             await asyncio.sleep(0.03)
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -1,12 +1,12 @@
 """A fleet of gateway nodes in simulated time, without any network.
 
-Nodes exchange calls through the codec of their links after a fixed delay, and
-each has a simulated upstream. Time advances only while every task waits, so a
-play of ten seconds takes a fraction of a second and always ends alike.
+Nodes exchange calls through the codec of their links after a delay, and each
+has a simulated upstream. Time advances only while every task waits, so a play
+of ten seconds takes a fraction of a second and always ends alike.
 
 Example:
     fleet = Fleet({'a': 'siop', 'b': 'gwydd'})
-    fleet.run(scenario())
+    fleet.run(scenario(), monkeypatch)
 """
 
 import asyncio
@@ -31,14 +31,23 @@
 from tests import gateways
 
 # Delay of a message between two nodes, seconds.
-LINK_DELAY_S = 0.002
+_LINK_DELAY_S = 0.002
 
-HOST = 'a.example'
+# Time after which a node gives up a link without a sign of life, seconds.
+_LINK_TIMEOUT_S = 1.2
 
+_HOST = 'a.example'
 _SLOTS = 87
 _TIMEOUT_S = 5.0
 
+# Header by which an answer shows the upstream process that sent it.
+_SERVED_BY = b'x-served-by'
+
 Headers = list[tuple[bytes, bytes]]
+Scenario = collections.abc.Coroutine[typing.Any, typing.Any, None]
+
+# One start of a node: its name and the number of the start.
+NodeProcess = tuple[str, int]
 
 
 class _Selector(selectors.SelectSelector):
@@ -69,11 +78,22 @@
     """A request that reached an upstream."""
 
     at: float
-    # Node that the client sent the request to, and time when it did, seconds.
-    entry: str
+    # Node process that the client sent the request to, and when, seconds.
+    entry: NodeProcess
     sent_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer of an upstream that a node passed on to its client."""
+
+    at: float
+    entry: NodeProcess
+    # Instance id of the upstream process.
+    upstream_id: str
+    headers: dict[bytes, bytes]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refusal:
     """A response with status 503."""
@@ -85,17 +105,21 @@
 class Upstream:
     """A simulated upstream; serves as the client of its node as well."""
 
-    def __init__(self, incarnation: int, work_s: float) -> None:
+    def __init__(self, fleet: 'Fleet', incarnation: int) -> None:
+        self.fleet = fleet
         self.incarnation = incarnation
-        # Time that a request takes, seconds.
-        self.work_s = work_s
         self.instance_id = f'i-{incarnation}'
-        # Headers of all answers.
+        # Additional headers of all answers.
         self.headers: Headers = []
         self.arrivals: list[Arrival] = []
         self.busy: set[object] = set()
         self.idle: list[object] = []
-        self.fleet: 'Fleet | None' = None
+
+    def set_header(self, name: bytes, value: bytes) -> None:
+        """Set a header of all answers; an empty value removes it."""
+        self.headers = [pair for pair in self.headers if pair[0] != name]
+        if value:
+            self.headers.append((name, value))
 
     async def send(
         self,
@@ -107,14 +131,13 @@
         host: bytes = b'',
         request_id: bytes = b'',
     ) -> upstream_client.UpstreamAnswer:
-        assert self.fleet is not None
-        number = int(request_id.partition(b'.')[0])
-        entry, sent_at = self.fleet.sent[number]
+        entry, sent_at = self.fleet.sent[int(request_id)]
         self.arrivals.append(Arrival(clock.recent(), entry, sent_at))
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.fleet.work_s)
         headers = [
             (gateways.DIALECT.attempt_id, request_id),
             (gateways.DIALECT.signature, b's'),
+            (_SERVED_BY, self.instance_id.encode()),
             *self.headers,
         ]
         return upstream_client.UpstreamAnswer(
@@ -131,12 +154,13 @@
 class _Forwarder:
     """Delivers the calls of one node to the owners of the fleet."""
 
-    def __init__(self, fleet: 'Fleet') -> None:
+    def __init__(self, fleet: 'Fleet', name: str) -> None:
         self.fleet = fleet
+        self.name = name
 
     async def call(self, address: str, call: messages.Call) -> messages.Answer:
         node = self.fleet.nodes.get(address)
-        await asyncio.sleep(LINK_DELAY_S)
+        await self._delay(address)
         if node is None or self.fleet.nodes.get(address) is not node:
             raise errors.RequestError(errors.ErrorKind.UPSTREAM_UNREACHABLE)
         copied = codec.decode(codec.encode(call))
@@ -144,10 +168,18 @@
         answer = codec.decode(codec.encode(await node.owner.handle(copied)))
         if self.fleet.nodes.get(address) is not node:
             raise errors.RequestError(errors.ErrorKind.PEER_LOST)
-        await asyncio.sleep(LINK_DELAY_S)
+        await self._delay(address)
         assert isinstance(answer, messages.Answer)
         return answer
 
+    async def _delay(self, address: str) -> None:
+        delay_s = self.fleet.link_delays_s.get(
+            (self.name, address), _LINK_DELAY_S
+        )
+        await asyncio.sleep(min(delay_s, _LINK_TIMEOUT_S))
+        if delay_s > _LINK_TIMEOUT_S:
+            raise errors.RequestError(errors.ErrorKind.PEER_LOST)
+
     def close_links_except(self, addresses: set[str]) -> None:
         pass
 
@@ -157,28 +189,26 @@
 
     def __init__(self, services: dict[str, str], work_s: float = 0.1) -> None:
         self.services = services
+        # Time that a request takes at an upstream, seconds.
         self.work_s = work_s
         self.random = random.Random(7)
+        # Running nodes, and how often each was started.
         self.nodes: dict[str, gateway_node.GatewayNode] = {}
+        self.starts: collections.Counter[str] = collections.Counter()
         self.upstreams: dict[str, Upstream] = {}
-        # Entry node and time of each request, by number; seconds.
-        self.sent: dict[int, tuple[str, float]] = {}
-        # Times at which a node passed on an answer of an upstream, with its
-        # headers, by entry node.
-        self.passed_on: dict[str, list[tuple[float, Headers]]]
-        self.passed_on = collections.defaultdict(list)
+        # Delays of links other than the usual one, by entry and owner node;
+        # seconds.
+        self.link_delays_s: dict[tuple[str, str], float] = {}
+        # Entry node and time of each request, by its number; seconds.
+        self.sent: dict[int, tuple[NodeProcess, float]] = {}
+        self.answers: list[Answer] = []
         # Statuses of all responses to clients.
         self.statuses: collections.Counter[int] = collections.Counter()
         self.refusals: list[Refusal] = []
-        self.states = dict.fromkeys(services, messages.UpstreamState.READY)
         self.view_index = 0
         self.tasks: list[asyncio.Task[None]] = []
 
-    def run(
-        self,
-        scenario: collections.abc.Coroutine[typing.Any, typing.Any, None],
-        monkeypatch: pytest.MonkeyPatch,
-    ) -> None:
+    def run(self, scenario: Scenario, monkeypatch: pytest.MonkeyPatch) -> None:
         """Start all nodes and run a scenario in simulated time."""
         with asyncio.Runner(loop_factory=_Loop) as runner:
             loop = runner.get_loop()
@@ -186,11 +216,9 @@
             monkeypatch.setattr(clock, 'recent', loop.time)
             runner.run(self._run(scenario))
 
-    async def _run(
-        self, scenario: collections.abc.Coroutine[typing.Any, typing.Any, None]
-    ) -> None:
+    async def _run(self, scenario: Scenario) -> None:
         for number, name in enumerate(self.services):
-            self.replace_upstream(name, number + 1)
+            self.upstreams[name] = Upstream(self, number + 1)
             self.start(name)
         try:
             await scenario
@@ -199,13 +227,11 @@
                 task.cancel()
 
     def replace_upstream(self, name: str, incarnation: int) -> Upstream:
-        """Give a node another upstream process."""
-        upstream = Upstream(incarnation, self.work_s)
-        upstream.fleet = self
-        self.upstreams[name] = upstream
-        if name in self.nodes:
-            self.announce(name)
-        return upstream
+        """Give a running node another upstream process."""
+        self.upstreams[name] = Upstream(self, incarnation)
+        self.announce(name)
+        self.publish()
+        return self.upstreams[name]
 
     def start(self, name: str) -> None:
         """Start a node, or start it again after stop()."""
@@ -214,10 +240,11 @@
         # As on the platform: all slots from the start.
         node.options.limit_policy = settings.LimitPolicy.FIXED
         node.options.warmup_s = 0.0
-        forwarder: typing.Any = _Forwarder(self)
+        forwarder: typing.Any = _Forwarder(self, name)
         node.forwarder = node.relay.forwarder = forwarder
         node.relay.picker._random = random.Random(self.random.random())
         self.nodes[name] = node
+        self.starts[name] += 1
         self.announce(name)
         self.publish()
         self.tasks.append(asyncio.create_task(node.owner.slots.run()))
@@ -227,8 +254,8 @@
         del self.nodes[name]
         self.publish()
 
-    def announce(self, name: str, state: str = 'ready') -> None:
-        """Deliver an announcement of the upstream to its node."""
+    def announce(self, name: str) -> None:
+        """Deliver an announcement of the upstream that it is ready."""
         upstream = self.upstreams[name]
         node = self.nodes[name]
         node.upstream.on_announcement(
@@ -238,7 +265,6 @@
                 9,
                 _SLOTS,
                 600,
-                state=state,
                 instance_id=upstream.instance_id,
             ),
             clock.now(),
@@ -247,83 +273,77 @@
         node.upstream.client = client
 
     def publish(self) -> None:
-        """Give every node the current members and the routes."""
+        """Give every node the routes and the members, all of them ready."""
         self.view_index += 1
+        services = dict.fromkeys(self.services.values())
         update = messages.StateUpdate(
             self.view_index,
             True,
             configuration=messages.Configuration(
-                number=1,
-                routes=[
-                    messages.Route(
-                        service,
-                        f'/{service}/',
-                        host=HOST,
-                        service=messages.ServiceName(service),
-                        is_open=True,
-                        is_idempotent=True,
-                        attempts=2,
-                        timeout_ms=round(_TIMEOUT_S * 1000),
-                    )
-                    for service in dict.fromkeys(self.services.values())
-                ],
+                number=1, routes=[_make_route(name) for name in services]
             ),
-            members=[
-                messages.Member(
-                    messages.NodeId(name),
-                    1,
-                    messages.ServiceName(self.services[name]),
-                    'z1',
-                    'r1',
-                    name,
-                    self.states[name],
-                    False,
-                    _SLOTS,
-                    self.upstreams[name].incarnation,
-                )
-                for name in self.nodes
-            ],
+            members=[self._make_member(name) for name in self.nodes],
         )
         for node in self.nodes.values():
             node.view.apply(update)
 
-    async def call(self, entry: str, service: str) -> int:
-        """Send a request of a client to a node; return the status."""
-        node = self.nodes[entry]
+    def _make_member(self, name: str) -> messages.Member:
+        return messages.Member(
+            node_id=messages.NodeId(name),
+            incarnation=self.starts[name],
+            service=messages.ServiceName(self.services[name]),
+            zone='z1',
+            region='r1',
+            address=name,
+            state=messages.UpstreamState.READY,
+            slots=_SLOTS,
+            upstream_incarnation=self.upstreams[name].incarnation,
+        )
+
+    def add_request(self, entry: str) -> int:
+        """Record a request that a client sends now; return its number."""
         number = len(self.sent)
-        self.sent[number] = entry, clock.now()
+        self.sent[number] = (entry, self.starts[entry]), clock.now()
+        return number
+
+    async def call(self, entry: str, service: str) -> None:
+        """Send a request of a client to a node, and record its response."""
+        node = self.nodes[entry]
+        number = self.add_request(entry)
         response = await node.gateway.serve(
             http_listener.Request(
                 'GET',
                 f'/{service}/{number}',
                 [
-                    (b'host', HOST.encode()),
+                    (b'host', _HOST.encode()),
                     (gateways.DIALECT.attempt_id, b'%d' % number),
                 ],
                 b'',
                 clock.now(),
             )
         )
+        if self.nodes.get(entry) is node:
+            self._record(number, response)
+
+    def _record(self, number: int, response: http_listener.Response) -> None:
+        process, sent_at = self.sent[number]
         self.statuses[response.status] += 1
+        headers = _parse(response.encoded_headers)
+        if _SERVED_BY in headers:
+            upstream_id = headers[_SERVED_BY].decode()
+            self.answers.append(
+                Answer(clock.now(), process, upstream_id, headers)
+            )
         if response.status == 503:
-            has_retry_time = any(
-                name == gateways.DIALECT.retry_after
-                for name, _ in response.headers
+            has_retry_time = gateways.DIALECT.retry_after in dict(
+                response.headers
             )
-            took_s = clock.now() - self.sent[number][1]
-            self.refusals.append(Refusal(took_s, has_retry_time))
-        if self.nodes.get(entry) is node and response.encoded_headers:
-            self.passed_on[entry].append(
-                (clock.now(), _parse(response.encoded_headers))
+            self.refusals.append(
+                Refusal(clock.now() - sent_at, has_retry_time)
             )
-        return response.status
 
     async def load(
-        self,
-        entries: list[str],
-        service: str,
-        per_s: float,
-        for_s: float,
+        self, entries: list[str], service: str, per_s: float, for_s: float
     ) -> None:
         """Send requests at an even rate, to the running entries in turn."""
         calls = []
@@ -334,7 +354,32 @@
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*calls)
 
-
-def _parse(block: bytes) -> Headers:
-    pairs = (line.partition(b': ') for line in block.split(b'\r\n') if line)
-    return [(name, value) for name, _, value in pairs]
+    def informed_at(
+        self, upstream: Upstream, name: bytes
+    ) -> dict[NodeProcess, float]:
+        """Return when each node process first passed on a header."""
+        informed: dict[NodeProcess, float] = {}
+        for answer in self.answers:
+            if answer.upstream_id == upstream.instance_id and (
+                answer.headers.get(name)
+            ):
+                informed.setdefault(answer.entry, answer.at)
+        return informed
+
+
+def _make_route(service: str) -> messages.Route:
+    return messages.Route(
+        service,
+        f'/{service}/',
+        host=_HOST,
+        service=messages.ServiceName(service),
+        is_open=True,
+        is_idempotent=True,
+        attempts=2,
+        timeout_ms=round(_TIMEOUT_S * 1000),
+    )
+
+
+def _parse(block: bytes) -> dict[bytes, bytes]:
+    lines = (line.partition(b': ') for line in block.split(b'\r\n') if line)
+    return {name: value for name, _, value in lines}
