--- a/standin/app.py
+++ b/standin/app.py
@@ -207,7 +207,11 @@
                 send,
                 503,
                 {'error': 'shed', 'service': self.options.service},
-                [*_NOT_RUN, (b'retry-after', b'1')],
+                [
+                    *_NOT_RUN,
+                    (b'retry-after', b'1'),
+                    *self._status_headers(),
+                ],
             )
             return
         except TimeoutError:
@@ -231,12 +235,26 @@
             case behaviours.Fault.CLOSE_AFTER:
                 await _close_connection(receive, send)
             case behaviours.Fault.TWICE:
-                await _send_body(send, status, response_body, [])
+                await _send_body(
+                    send, status, response_body, self._status_headers()
+                )
                 _transport(send).write(
                     _encode_response(response_body, len(response_body))
                 )
             case _:
-                await _send_body(send, status, response_body, [])
+                await _send_body(
+                    send, status, response_body, self._status_headers()
+                )
+
+    def _status_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers with which this upstream describes itself."""
+        pairs = []
+        if self.behaviour.rate_limit >= 0:
+            limit = b'%g' % self.behaviour.rate_limit
+            pairs.append((b'godwitstall-rate-limit', limit))
+        if self.behaviour.says_leaving:
+            pairs.append((b'godwitstall-leaving', b'1'))
+        return pairs
 
     async def _send_deadline_passed(self, send: _Send) -> None:
         self.oracle.increment('deadline_passed')
@@ -244,7 +262,7 @@
             send,
             504,
             {'error': 'deadline_passed', 'service': self.options.service},
-            _NOT_RUN,
+            [*_NOT_RUN, *self._status_headers()],
         )
 
     async def _run(self, request: _Request) -> tuple[int, bytes]:
--- a/standin/behaviour.py
+++ b/standin/behaviour.py
@@ -64,3 +64,8 @@
     load_factor: float = 1.0
     # Whether announcements are sent.
     is_announcing: bool = True
+    # Requests per second that all responses name as the limit of this
+    # upstream; below 0 they name none. Requests beyond it are still run.
+    rate_limit: float = -1.0
+    # Whether all responses say that this upstream is about to exit.
+    says_leaving: bool = False
--- a/tests/standin/test_behaviour.py
+++ b/tests/standin/test_behaviour.py
@@ -169,3 +169,22 @@
             assert program.standin.behaviour == before
 
     asyncio.run(scenario())
+
+
+def test_responses_describe_the_upstream() -> None:
+    """Guards against a stand-in that cannot play a limit or a leave."""
+
+    async def scenario() -> None:
+        async with tools.running_standin() as program:
+            client = http_client.Client(program.options.address, 1)
+            response = await client.request('GET', '/a', [], b'', _TIMEOUT_S)
+            assert 'godwitstall-rate-limit' not in response.headers
+            assert 'godwitstall-leaving' not in response.headers
+            program.standin.behaviour.rate_limit = 2.5
+            program.standin.behaviour.says_leaving = True
+            response = await client.request('GET', '/a', [], b'', _TIMEOUT_S)
+            assert response.headers['godwitstall-rate-limit'] == '2.5'
+            assert response.headers['godwitstall-leaving'] == '1'
+            client.close()
+
+    asyncio.run(scenario())
