Send calls that a rate limit does not admit to other upstreams

Cause: a node of a large fleet learns the limit of each upstream by a refusal of its own, and two refusals end a call. Between tries a call waited up to 0.5 s in the queue of a limited upstream.

Change: refusals for a rate limit are bounded apart (six), as long as a member is left that is not known to be limited or down; the queue of a limited upstream holds what it serves in 0.1 s; a node that knows a limit calls again after an interval, an even share of the limit at first, doubled by a refusal and shortened by a call that is served.

Ruled out: the limit itself; the six upstreams without one were never full.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -47,7 +47,7 @@
     state.apply(messages.StateUpdate(index=1, is_full=True, members=members))
     report = messages.LoadReport(3, 1, 100)
     for member in members:
-        member_picker.on_dispatch(member.node_id)
+        member_picker.on_dispatch(member.node_id, 100.0)
         member_picker.on_answer(member.node_id, report, False, 100.0)
     return state, member_picker
 
--- a/godwitstall/limits/upstream_rate.py
+++ b/godwitstall/limits/upstream_rate.py
@@ -40,6 +40,10 @@
 # does not end the limit, seconds.
 _HOLD_S = 1.0
 
+# Length of the queue, in seconds at the limit. It lets a request of a higher
+# priority take the next token; the others had better try another upstream.
+_MAX_QUEUE_S = 0.1
+
 # Weight of one request in the moving average of the time that it takes.
 _DURATION_WEIGHT = 0.05
 
@@ -172,11 +176,8 @@
             return None
         return max(1, round(self._rate_per_s() * self._mean_duration_s))
 
-    def max_queued(self, max_wait_s: float) -> int | None:
-        """Return how many requests can be sent within max_wait_s.
-
-        None if there is no limit.
-        """
+    def max_queued(self) -> int | None:
+        """Return how many requests may wait; None if there is no limit."""
         if not self.is_limited():
             return None
-        return max(1, math.ceil(self._rate_per_s() * max_wait_s))
+        return max(1, math.ceil(self._rate_per_s() * _MAX_QUEUE_S))
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import random
 import typing
 
@@ -31,6 +32,10 @@
 # Retry time of a call to a service without a ready upstream, milliseconds.
 _NO_UPSTREAM_RETRY_AFTER_MS = 1000
 
+# Number of owners that may refuse a call because of the rate limits of their
+# upstreams before it fails.
+_MAX_RATE_REFUSALS = 6
+
 # Number of tries of a call in pass-through mode, which comparison runs use.
 _PASS_THROUGH_TRIES = 3
 _FIRST_SERVER_ERROR_STATUS = 500
@@ -136,10 +141,17 @@
         budget.on_call(clock.recent())
         attempts_left = attempts
         refusal_count = 0
+        rate_refusal_count = 0
         excluded: set[messages.NodeId] = set()
         answer: messages.Answer | None = None
         while True:
-            member = self.picker.pick(call.service, excluded, clock.recent())
+            member = self.picker.pick(
+                call.service,
+                excluded,
+                clock.recent(),
+                # Members that are avoided or limited would refuse as well.
+                must_be_usable=rate_refusal_count > 0,
+            )
             if member is None:
                 break
             call.attempts = min(max(1, route.dispatch_attempts), attempts_left)
@@ -149,7 +161,10 @@
                 answer = previous
                 break
             is_sent = answer.kind not in _UNSENT_KINDS
-            refusal_count += not is_sent
+            if is_rate_refusal(answer):
+                rate_refusal_count += 1
+            else:
+                refusal_count += not is_sent
             if is_sent and self.policy.counts_sends:
                 attempts_left -= 1
             else:
@@ -162,6 +177,7 @@
             if (
                 now >= deadline
                 or refusal_count == self.policy.max_refusals > 0
+                or rate_refusal_count == _MAX_RATE_REFUSALS
             ):
                 break
             if not is_still_admitted(call):
@@ -264,7 +280,7 @@
         deadline: float,
     ) -> messages.Answer:
         call.deadline_ms = max(1, int((deadline - clock.recent()) * 1000))
-        self.picker.on_dispatch(member.node_id)
+        self.picker.on_dispatch(member.node_id, clock.recent())
         self.picker.notices.add_limit(member.node_id, call)
         answer: messages.Answer | None = None
         try:
@@ -297,6 +313,7 @@
             load,
             answer.kind in _OWNER_DOWN_KINDS,
             clock.recent(),
+            is_overloaded=answer.kind is errors.ErrorKind.OVERLOADED,
         )
         if reflects_upstream_health(answer):
             self.picker.on_outcome(
@@ -327,6 +344,20 @@
     )
 
 
+def is_rate_refusal(answer: messages.Answer) -> bool:
+    """Return whether an owner refused because of its upstream's rate limit.
+
+    Other upstreams of the service can have room then, unlike after a refusal
+    for lack of slots, since calls are spread by the slots in use.
+    """
+    rate_limit = answer.load.rate_limit
+    return (
+        answer.kind is errors.ErrorKind.OVERLOADED
+        and rate_limit is not None
+        and math.isfinite(rate_limit)
+    )
+
+
 def _keeps_previous(
     answer: messages.Answer, previous: messages.Answer
 ) -> bool:
--- a/godwitstall/node/slots.py
+++ b/godwitstall/node/slots.py
@@ -125,7 +125,7 @@
 
     def _max_queued(self) -> int:
         """Return the length of the queue; a limited rate shortens it."""
-        max_queued = self.upstream.rate.max_queued(self.queue.max_wait_s)
+        max_queued = self.upstream.rate.max_queued()
         if max_queued is None:
             return self.upstream.options.max_queue
         return min(max_queued, self.upstream.options.max_queue)
--- a/godwitstall/routing/notices.py
+++ b/godwitstall/routing/notices.py
@@ -16,6 +16,9 @@
 # Largest number of nodes whose upstreams are remembered for one reason.
 MAX_REMEMBERED_NODES = 4096
 
+# Incarnation and limit of an upstream that named none.
+_NO_LIMIT = (0, math.inf)
+
 _Value = typing.TypeVar('_Value')
 
 
@@ -60,10 +63,14 @@
             member.node_id, -1
         )
 
+    def limit_of(self, node_id: messages.NodeId) -> float:
+        """Return the limit that an upstream named; infinite without one."""
+        return self._limits.get(node_id, _NO_LIMIT)[1]
+
     def add_limit(self, node_id: messages.NodeId, call: messages.Call) -> None:
         """Add to a call the limit that the upstream of its owner named."""
         call.limited_incarnation, call.rate_limit = self._limits.get(
-            node_id, (0, math.inf)
+            node_id, _NO_LIMIT
         )
 
 
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import math
 import random as random_module
 import typing
 
@@ -44,6 +45,16 @@
 INITIAL_AVOIDANCE_S = 0.2
 MAX_AVOIDANCE_S = 5.0
 
+# Lowest rate limit with which intervals between calls are calculated, requests
+# per second, and longest interval, seconds.
+_MIN_RATE_PER_S = 0.5
+MAX_CALL_INTERVAL_S = 5.0
+
+# Factors of the interval between calls after a call that the owner rejected
+# because of its load, and after any other.
+_BACKOFF_FACTOR = 2.0
+_SPEED_UP_FACTOR = 0.9
+
 
 @dataclasses.dataclass(slots=True)
 class _MemberStats:
@@ -66,6 +77,10 @@
     failed_share: float = 0.0
     # Time of the last update of failed_share, seconds.
     failed_at: float = 0.0
+    # Interval between calls of this node to a member whose upstream names a
+    # rate limit, 0 without one, and time of the next call, seconds.
+    call_interval_s: float = 0.0
+    next_call_at: float = float('-inf')
 
 
 class Picker:
@@ -90,12 +105,17 @@
         view.on_change.append(self._on_view_change)
 
     def pick(
-        self, service: str, excluded: set[messages.NodeId], now: float
+        self,
+        service: str,
+        excluded: set[messages.NodeId],
+        now: float,
+        must_be_usable: bool = False,
     ) -> messages.Member | None:
         """Return the member to send a call to, or None when there is none.
 
-        Members that failed recently are selected only when no other is
-        available.
+        Members that failed recently, and those whose upstream names a rate
+        limit of which this node has used its share, are selected only when no
+        other is available, and never if must_be_usable is set.
         """
         local, remote = self._candidates(service)
         best_local = self._best_of_two(local, excluded, now)
@@ -104,7 +124,7 @@
         best_remote = self._best_of_two(remote, excluded, now)
         if best_local is None or best_remote is None:
             best = best_local or best_remote
-            if best is not None:
+            if best is not None or must_be_usable:
                 return best
             return self._first_to_recover(local + remote, excluded)
         margin = self.score(best_local, now) - self.score(best_remote, now)
@@ -114,9 +134,20 @@
         """Return the number of nodes in the fleet."""
         return len(self._view.members)
 
-    def on_dispatch(self, node_id: messages.NodeId) -> None:
+    def on_dispatch(self, node_id: messages.NodeId, now: float) -> None:
         """Count a call that is sent to a member."""
-        self._stats_of(node_id).outstanding += 1
+        stats = self._stats_of(node_id)
+        stats.outstanding += 1
+        limit = self.notices.limit_of(node_id)
+        if math.isinf(limit):
+            stats.call_interval_s = 0.0
+            return
+        if not stats.call_interval_s:
+            even_share = max(limit, _MIN_RATE_PER_S) / max(
+                self.node_count(), 1
+            )
+            stats.call_interval_s = min(1 / even_share, MAX_CALL_INTERVAL_S)
+        stats.next_call_at = now + stats.call_interval_s
 
     def on_answer(
         self,
@@ -124,14 +155,22 @@
         load: messages.LoadReport | None,
         is_unreachable: bool,
         now: float,
+        is_overloaded: bool = False,
     ) -> None:
         """Count the end of a call and store the load report of its answer.
 
         is_unreachable means that the link was lost or the owner rejected the
-        call because it is down.
+        call because it is down, is_overloaded that it rejected the call
+        because it has too many.
         """
         stats = self._stats_of(node_id)
         stats.outstanding = max(stats.outstanding - 1, 0)
+        if is_overloaded:
+            stats.call_interval_s = min(
+                stats.call_interval_s * _BACKOFF_FACTOR, MAX_CALL_INTERVAL_S
+            )
+        elif load is not None:
+            stats.call_interval_s *= _SPEED_UP_FACTOR
         if load is not None:
             if self.notices.on_report(node_id, load):
                 self._candidate_cache.clear()
@@ -268,7 +307,7 @@
         if member.node_id in excluded:
             return False
         stats = self._stats.get(member.node_id)
-        return stats is None or stats.avoided_until <= now
+        return stats is None or _usable_from(stats) <= now
 
     def _first_to_recover(
         self, members: list[messages.Member], excluded: set[messages.NodeId]
@@ -276,7 +315,7 @@
         """Return the avoided member whose avoidance ends first."""
         return min(
             (member for member in members if member.node_id not in excluded),
-            key=lambda member: self._stats_of(member.node_id).avoided_until,
+            key=lambda member: _usable_from(self._stats_of(member.node_id)),
             default=None,
         )
 
@@ -297,6 +336,13 @@
                 del self._stats[node_id]
 
 
+def _usable_from(stats: _MemberStats) -> float:
+    """Return the time from which a member gets calls, seconds."""
+    if not stats.call_interval_s:
+        return stats.avoided_until
+    return max(stats.avoided_until, stats.next_call_at)
+
+
 def _load_share(stats: _MemberStats, now: float) -> float:
     age = now - stats.reported_at
     if age >= REPORT_LIFETIME_S:
--- a/tests/limits/test_upstream_rate.py
+++ b/tests/limits/test_upstream_rate.py
@@ -97,4 +97,4 @@
     assert rate.concurrency() is None
     rate.on_answer(30.0, 0.0, 0.0)
     assert rate.concurrency() == 3
-    assert rate.max_queued(0.5) == 15
+    assert rate.max_queued() == 3
--- a/tests/node/test_leaving_in_answers.py
+++ b/tests/node/test_leaving_in_answers.py
@@ -98,23 +98,21 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against requests that wait for an upstream that has left."""
-    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'})
+    fleet = simulated_fleet.Fleet({'a': 'siop', 'c': 'gwydd'}, work_s=1.0)
 
     async def scenario() -> None:
-        fleet.upstreams['a'].headers = [(b'x-limit', b'8')]
-        await fleet.call('c', 'siop')
         upstream = fleet.nodes['a'].upstream
-        load = asyncio.create_task(fleet.load(['c'], 'siop', 100.0, 0.1))
-        await asyncio.sleep(0.1)
+        upstream.set_max_slots(1)
+        load = asyncio.create_task(fleet.load(['c'], 'siop', 100.0, 0.05))
+        await asyncio.sleep(0.06)
         assert len(fleet.nodes['a'].owner.slots.queue) == 4
-        fleet.refusals.clear()
         upstream.on_status(
             upstream_status.UpstreamStatus(is_leaving=True),
             upstream.incarnation,
             clock.now(),
         )
         await load
-        assert len(fleet.refusals) >= 4
+        assert len(fleet.refusals) == 4
         assert max(refusal.took_s for refusal in fleet.refusals) < 0.15
 
     fleet.run(scenario(), monkeypatch)
--- a/tests/node/test_named_rate_limit.py
+++ b/tests/node/test_named_rate_limit.py
@@ -253,3 +253,28 @@
         assert claimer.released_count <= refused
 
     fleet.run(scenario(), monkeypatch)
+
+
+@pytest.mark.parametrize(('limited_count', 'min_served'), [(14, 0.95)])
+def test_other_upstreams_serve_what_limited_ones_refuse(
+    monkeypatch: pytest.MonkeyPatch, limited_count: int, min_served: float
+) -> None:
+    """Guards against calls that end after two refusals of limited upstreams.
+
+    The pattern: 14 of 20 upstreams are limited to a third of their share, and
+    each node sends too few requests to learn all limits in time. The other
+    six have room for all requests.
+    """
+    upstreams = {f's{number}': 'siop' for number in range(20)}
+    entries = {f'g{number}': 'gwydd' for number in range(30)}
+    fleet = simulated_fleet.Fleet(upstreams | entries)
+
+    async def scenario() -> None:
+        for number in range(limited_count):
+            fleet.upstreams[f's{number}'].headers = [(b'x-limit', b'3')]
+        await fleet.load([*upstreams, *entries], 'siop', 180.0, 10.0)
+        for number in range(limited_count):
+            _check_limit(fleet, f's{number}', 1000.0 + _REACTION_S, 3.0)
+
+    fleet.run(scenario(), monkeypatch)
+    assert fleet.statuses[200] >= min_served * 1800
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -276,7 +276,7 @@
         if i >= len(owners):
             continue
         if event == 'send':
-            chooser.on_dispatch(node_id)
+            chooser.on_dispatch(node_id, 0.0)
             outstanding[i] += 1
             continue
         report = messages.LoadReport(load // 2, load - load // 2, 10)
@@ -322,8 +322,8 @@
     """Guards against selecting a failed owner again after a timeout."""
     broken, good = _member('n1', 'z1', 'READY'), _member('n2', 'z1', 'READY')
     chooser = _picker([broken, good], [])
-    chooser.on_dispatch(broken.node_id)
-    chooser.on_dispatch(broken.node_id)
+    chooser.on_dispatch(broken.node_id, 0.0)
+    chooser.on_dispatch(broken.node_id, 0.0)
     chooser.on_answer(broken.node_id, None, True, 0.0)
     chooser.on_answer(broken.node_id, None, False, 0.05)
     for _ in range(20):
@@ -407,3 +407,51 @@
     assert chooser.pick(_SERVICE, set(), 1.0) is local
     assert candidate_counts == [1]
     assert chooser.pick(_SERVICE, {local.node_id}, 1.0) in remote
+
+
+def _limited_picker() -> picker.Picker:
+    """Return a picker whose only known member names a limit of 2/s."""
+    chooser = _picker([_member('n1', 'z1'), _member('n2', 'z1')], [])
+    report = messages.LoadReport(
+        0, 0, 10, messages.UpstreamState.READY, 1, rate_limit=2.0
+    )
+    chooser.on_dispatch(messages.NodeId('n1'), 0.0)
+    chooser.on_answer(messages.NodeId('n1'), report, False, 0.0)
+    chooser.on_dispatch(messages.NodeId('n1'), 1.0)
+    return chooser
+
+
+def test_limited_member_gets_no_more_than_a_share() -> None:
+    """Guards against nodes that all press on an upstream with a limit."""
+    chooser = _limited_picker()
+    # The limit is shared by two nodes, so the next call may follow after 1 s.
+    for _ in range(20):
+        chosen = chooser.pick(_SERVICE, set(), 1.9)
+        assert chosen is not None and chosen.node_id == 'n2'
+    picked = [chooser.pick(_SERVICE, set(), 2.1) for _ in range(50)]
+    assert {m.node_id for m in picked if m is not None} == {'n1', 'n2'}
+
+
+def test_limited_member_is_picked_if_there_is_no_other() -> None:
+    """Guards against a refusal by a node while its owner may have room."""
+    chooser = _limited_picker()
+    excluded = {messages.NodeId('n2')}
+    chosen = chooser.pick(_SERVICE, excluded, 1.1)
+    assert chosen is not None and chosen.node_id == 'n1'
+    assert chooser.pick(_SERVICE, excluded, 1.1, must_be_usable=True) is None
+
+
+def test_refusals_lengthen_the_interval_between_calls() -> None:
+    """Guards against nodes that repeat calls that a limit refuses."""
+    chooser = _limited_picker()
+    node_id = messages.NodeId('n1')
+    report = messages.LoadReport(
+        0, 5, 1, messages.UpstreamState.READY, 1, rate_limit=2.0
+    )
+    for _ in range(9):
+        chooser.on_answer(node_id, report, False, 1.0, is_overloaded=True)
+    chooser.on_dispatch(node_id, 1.0)
+    just_before = 1.0 + picker.MAX_CALL_INTERVAL_S - 0.1
+    for _ in range(20):
+        chosen = chooser.pick(_SERVICE, set(), just_before)
+        assert chosen is not None and chosen.node_id == 'n2'
