--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -418,6 +418,7 @@
     chooser.on_dispatch(messages.NodeId('n1'), 0.0)
     chooser.on_answer(messages.NodeId('n1'), report, False, 0.0)
     chooser.on_dispatch(messages.NodeId('n1'), 1.0)
+    chooser.on_answer(messages.NodeId('n1'), report, False, 1.05)
     return chooser
 
 
