Count refusals of a call in a class of their own

Cause: two counters and their bounds stood in the loop of Relay.send, and the line of a failed try did not show the rate limit behind a refusal.

Change: _Refusals counts them; relay try_failed has owner_rate_limit.

--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/relay.py
@@ -95,6 +95,38 @@
     max_refusals: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _Refusals:
+    """Refusals of one call by owners that sent nothing to their upstreams.
+
+    Those for the rate limit of an upstream are counted apart: other upstreams
+    of the service can have room then. After a refusal for lack of slots that
+    is unlikely, since calls are spread by the slots in use.
+    """
+
+    # Number of other refusals after which the call fails; 0 means no limit.
+    max_others: int
+    by_rate_limit: int = 0
+    others: int = 0
+
+    def add(self, answer: messages.Answer) -> None:
+        """Count a refusal."""
+        if (
+            answer.kind is errors.ErrorKind.OVERLOADED
+            and _rate_limit(answer) is not None
+        ):
+            self.by_rate_limit += 1
+        else:
+            self.others += 1
+
+    def is_limit_reached(self) -> bool:
+        """Return whether the call fails after these refusals."""
+        return (
+            self.others == self.max_others > 0
+            or self.by_rate_limit == _MAX_RATE_REFUSALS
+        )
+
+
 class Relay:
     """Sends calls to owners, including the owner of this node."""
 
@@ -140,8 +172,7 @@
         budget = self._retry_budget(call.service)
         budget.on_call(clock.recent())
         attempts_left = attempts
-        refusal_count = 0
-        rate_refusal_count = 0
+        refusals = _Refusals(self.policy.max_refusals)
         excluded: set[messages.NodeId] = set()
         answer: messages.Answer | None = None
         while True:
@@ -150,7 +181,7 @@
                 excluded,
                 clock.recent(),
                 # Members that are avoided or limited would refuse as well.
-                must_be_usable=rate_refusal_count > 0,
+                must_be_usable=refusals.by_rate_limit > 0,
             )
             if member is None:
                 break
@@ -161,10 +192,8 @@
                 answer = previous
                 break
             is_sent = answer.kind not in _UNSENT_KINDS
-            if is_rate_refusal(answer):
-                rate_refusal_count += 1
-            else:
-                refusal_count += not is_sent
+            if not is_sent:
+                refusals.add(answer)
             if is_sent and self.policy.counts_sends:
                 attempts_left -= 1
             else:
@@ -174,11 +203,7 @@
             now = clock.recent()
             if not self._may_retry(answer, call) or attempts_left < 1:
                 break
-            if (
-                now >= deadline
-                or refusal_count == self.policy.max_refusals > 0
-                or rate_refusal_count == _MAX_RATE_REFUSALS
-            ):
+            if now >= deadline or refusals.is_limit_reached():
                 break
             if not is_still_admitted(call):
                 break
@@ -220,6 +245,7 @@
             owner_queued=answer.load.queued,
             owner_running=answer.load.in_flight,
             owner_limit=answer.load.limit,
+            owner_rate_limit=_rate_limit(answer),
             deadline_ms=call.deadline_ms,
         )
 
@@ -344,18 +370,12 @@
     )
 
 
-def is_rate_refusal(answer: messages.Answer) -> bool:
-    """Return whether an owner refused because of its upstream's rate limit.
-
-    Other upstreams of the service can have room then, unlike after a refusal
-    for lack of slots, since calls are spread by the slots in use.
-    """
+def _rate_limit(answer: messages.Answer) -> float | None:
+    """Return the rate limit of the owner's upstream, None if it has none."""
     rate_limit = answer.load.rate_limit
-    return (
-        answer.kind is errors.ErrorKind.OVERLOADED
-        and rate_limit is not None
-        and math.isfinite(rate_limit)
-    )
+    if rate_limit is None or math.isinf(rate_limit):
+        return None
+    return rate_limit
 
 
 def _keeps_previous(
