Log and count requests that end without an answer

Change: the listener cancels a handler with the reason as the message and counts it (http_cut_requests_total by reason), the gateway writes a line 'cut' with request, route, reason and age, and a stopping node writes 'stop_settled' and 'stop_closing' with the time left, the requests in progress and the open connections. No logic was changed.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -16,6 +16,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import enum
 import http
 import socket
 import typing
@@ -31,6 +32,9 @@
 _BAD_REQUESTS = metrics.counter(
     'http_bad_requests_total', 'Connections closed for bad requests by status.'
 )
+_CUT_REQUESTS = metrics.counter(
+    'http_cut_requests_total', 'Requests ended without a response by reason.'
+)
 
 # Connections that the kernel queues until the event loop accepts them.
 _BACKLOG = 2048
@@ -64,6 +68,18 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class CutReason(enum.Enum):
+    """Why a request ends without a response.
+
+    The task of its handler is cancelled with the value as the message.
+    """
+
+    CLIENT_LEFT = 'client_left'
+    # An earlier response of the connection announced its close.
+    CLOSING_RESPONSE = 'closing_response'
+    LISTENER_CLOSED = 'listener_closed'
+
+
 @dataclasses.dataclass(slots=True)
 class Limits:
     """Limits on the requests of clients."""
@@ -168,9 +184,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.connections.discard(self)
         self.is_closing = True
+        self._cut_exchanges(CutReason.CLIENT_LEFT)
+
+    def close(self) -> None:
+        """Close the connection; pending requests get no response."""
+        self._cut_exchanges(CutReason.LISTENER_CLOSED)
+        self.transport.close()
+
+    def _cut_exchanges(self, reason: CutReason) -> None:
+        """Cancel the handlers of the pending requests."""
         for exchange in self.exchanges:
             if exchange.task is not None:
-                exchange.task.cancel()
+                _CUT_REQUESTS.inc(reason=reason.value)
+                exchange.task.cancel(reason.value)
         self.exchanges.clear()
 
     def pause_writing(self) -> None:
@@ -333,10 +359,7 @@
             if exchange.closes_connection:
                 # For the client, requests after a closing response were not
                 # processed (RFC 9112, section 9.6).
-                for skipped in self.exchanges:
-                    if skipped.task is not None:
-                        skipped.task.cancel()
-                self.exchanges.clear()
+                self._cut_exchanges(CutReason.CLOSING_RESPONSE)
                 self.transport.close()
                 return
         if was_full:
@@ -473,4 +496,4 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self.timeout_task
         for connection in list(self.connections):
-            connection.transport.close()
+            connection.close()
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -6,6 +6,7 @@
 sends it to an owner.
 """
 
+import asyncio
 import itertools
 import json
 import random
@@ -88,6 +89,9 @@
             answer = await self._admit(request, route)
         except errors.RequestError as e:
             answer = dispatch.error_answer(e)
+        except asyncio.CancelledError as e:
+            self._log_cut(request, route_name, e)
+            raise
         _REQUESTS.inc(route=route_name, kind=answer.kind.label)
         _REQUEST_SECONDS.observe(
             clock.recent() - request.received_at,
@@ -129,6 +133,25 @@
             lease_left_ms=round((self.session.lease_until - now) * 1000),
         )
 
+    def _log_cut(
+        self,
+        request: http_listener.Request,
+        route_name: str,
+        cancellation: asyncio.CancelledError,
+    ) -> None:
+        """Log a request that ends without an answer."""
+        decisions.write(
+            _LOG_PART,
+            'cut',
+            request=request.header(self.dialect.attempt_id).decode('latin-1'),
+            route=route_name,
+            reason=str(cancellation),
+            client_deadline_ms=request.header(self.dialect.deadline_ms).decode(
+                'latin-1'
+            ),
+            took_ms=round((clock.recent() - request.received_at) * 1000),
+        )
+
     def _match_route(self, request: http_listener.Request) -> messages.Route:
         if self.view.index < 0 or not self.view.number:
             raise errors.RequestError(
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -9,6 +9,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import http_listener
 from godwitstall import logs
 from godwitstall import metrics_endpoint
@@ -117,6 +118,7 @@
         end = clock.now() + self.options.planned_stop_s()
         self.is_stopping = True
         await self.leave_and_settle()
+        self._log_stop('stop_settled', end)
         self.listener.is_stopping = True
         idle_since = clock.now()
         while clock.now() < end:
@@ -125,12 +127,23 @@
             if clock.now() - idle_since > _IDLE_BEFORE_EXIT_S:
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
+        self._log_stop('stop_closing', end)
         # Requests that were accepted last are answered too.
         await self.listener.close_gracefully(
             max(end - clock.now(), _MIN_FINISH_S)
         )
         await self.stop_components()
 
+    def _log_stop(self, event: str, end: float) -> None:
+        decisions.write(
+            'node',
+            event,
+            left_ms=round((end - clock.now()) * 1000),
+            active=self.listener.active_requests,
+            owner_active=self.owner.active,
+            connections=len(self.listener.connections),
+        )
+
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the admin listener, without any key."""
         return self.dump_components() | {
