--- /dev/null
+++ b/tests/listener/connections.py
@@ -0,0 +1,30 @@
+"""A listener and connections to it for tests."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+from godwitstall import http_listener
+from loadtool import addresses
+
+
+@contextlib.asynccontextmanager
+async def listening(
+    handler: http_listener.Handler,
+) -> collections.abc.AsyncIterator[tuple[http_listener.Listener, str]]:
+    """Run a listener with one handler; yields it and its address."""
+    address = addresses.free_address()
+    listener = http_listener.Listener({address: handler})
+    await listener.start()
+    try:
+        yield listener, address
+    finally:
+        await listener.close()
+
+
+async def connect(
+    address: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to a listener."""
+    host, _, port = address.rpartition(':')
+    return await asyncio.open_connection(host, int(port))
--- /dev/null
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -0,0 +1,284 @@
+"""Requests that reach a gateway node late in its planned stop.
+
+The node runs over real sockets, beside an upstream that answers after a
+time.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import http_listener
+from godwitstall import messages
+from godwitstall.node import announcements
+from godwitstall.node import gateway_node
+from godwitstall import settings
+from loadtool import addresses
+from tests import gateways
+from tests.listener import connections
+
+_TIMEOUT_S = 20.0
+_HOST = 'a.example'
+
+# Times of a planned stop, seconds.
+_GRACE_S = 2.0
+_SETTLE_S = 0.2
+
+# Timeouts of the two routes of the configuration, seconds: one that fits into
+# the rest of a planned stop, and one that does not.
+_SHORT_S = 0.4
+_LONG_S = 8.0
+
+
+class _Upstream:
+    """An upstream that answers each request after a time."""
+
+    def __init__(self) -> None:
+        self.work_s = 0.0
+        self.received: list[str] = []
+
+    async def serve(
+        self, request: http_listener.Request
+    ) -> http_listener.Response:
+        self.received.append(request.target)
+        await asyncio.sleep(self.work_s)
+        return http_listener.Response(
+            200,
+            [
+                (
+                    gateways.DIALECT.attempt_id,
+                    request.header(gateways.DIALECT.attempt_id),
+                ),
+                (gateways.DIALECT.signature, b's'),
+            ],
+            b'done',
+        )
+
+
+@dataclasses.dataclass
+class _Stopping:
+    """A node whose planned stop has begun, its upstream and its address."""
+
+    node: gateway_node.GatewayNode
+    upstream: _Upstream
+    stop: asyncio.Task[None]
+
+    async def send_late(self, target: str) -> tuple[bytes, bytes]:
+        """Send a request when the settle time is over; return its response.
+
+        Returns head and body, both empty if the connection is closed without
+        a response.
+        """
+        reader, writer = await connections.connect(
+            self.node.options.caller_address
+        )
+        # The node sees the connection before it stops listening.
+        writer.write(_encode('/short/early'))
+        async with asyncio.timeout(_TIMEOUT_S):
+            await _read_response(reader)
+            await _until(lambda: self.node.listener.is_stopping)
+            writer.write(_encode(target))
+            response = await _read_response(reader)
+        writer.close()
+        return response
+
+
+@contextlib.asynccontextmanager
+async def _stopping_node() -> collections.abc.AsyncIterator[_Stopping]:
+    upstream = _Upstream()
+    async with connections.listening(upstream.serve) as (_, upstream_address):
+        node = _make_node(upstream_address)
+        await node.start()
+        _publish(node)
+        stop = asyncio.create_task(node.stop())
+        # A request in progress keeps the node from stopping early.
+        upstream.work_s = _GRACE_S / 2
+        reader, writer = await connections.connect(node.options.caller_address)
+        writer.write(_encode('/long/first'))
+        await _until(lambda: bool(upstream.received))
+        upstream.work_s = 0.0
+        try:
+            yield _Stopping(node, upstream, stop)
+            await stop
+            head, body = await _read_response(reader)
+            assert (head[9:12], body) == (b'200', b'done')
+        finally:
+            stop.cancel()
+            await asyncio.gather(stop, return_exceptions=True)
+            writer.close()
+
+
+def _make_node(upstream_address: str) -> gateway_node.GatewayNode:
+    options = dataclasses.replace(
+        gateways.make_options('n1', 'siop'),
+        link_address=addresses.free_address(),
+        caller_address=addresses.free_address(),
+        upstream_address=upstream_address,
+        stop_grace_s=_GRACE_S,
+        stop_settle_s=_SETTLE_S,
+        limit_policy=settings.LimitPolicy.FIXED,
+        warmup_s=0.0,
+    )
+    fleet = settings.FleetOptions(
+        'tests', seeds=[addresses.free_address()], is_without_secret=True
+    )
+    node = gateway_node.GatewayNode.from_config(
+        options, fleet, gateways.DIALECT
+    )
+    _, _, port = upstream_address.rpartition(':')
+    node.upstream.on_announcement(
+        announcements.Announcement(
+            options.service, 1, int(port), 9, 9, instance_id='i-1'
+        ),
+        clock.now(),
+    )
+    return node
+
+
+def _publish(node: gateway_node.GatewayNode) -> None:
+    """Give the node its routes, and itself as the only member."""
+    node.view.apply(
+        messages.StateUpdate(
+            1,
+            True,
+            configuration=messages.Configuration(
+                number=1,
+                routes=[
+                    _make_route('short', _SHORT_S),
+                    _make_route('long', _LONG_S),
+                ],
+            ),
+            members=[
+                messages.Member(
+                    node_id=node.options.node_id,
+                    incarnation=1,
+                    service=node.options.service,
+                    zone='z1',
+                    region='r1',
+                    address=node.options.link_address,
+                    state=messages.UpstreamState.READY,
+                    slots=9,
+                    upstream_incarnation=1,
+                )
+            ],
+        )
+    )
+
+
+def _make_route(name: str, timeout_s: float) -> messages.Route:
+    return messages.Route(
+        name,
+        f'/{name}/',
+        host=_HOST,
+        service=messages.ServiceName('siop'),
+        is_open=True,
+        is_idempotent=False,
+        attempts=2,
+        timeout_ms=round(timeout_s * 1000),
+    )
+
+
+def _encode(target: str) -> bytes:
+    return (
+        f'GET {target} HTTP/1.1\r\nhost: {_HOST}\r\nx-id: {target[1:]}\r\n\r\n'
+    ).encode()
+
+
+async def _read_response(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    try:
+        head = await reader.readuntil(b'\r\n\r\n')
+        _, _, rest = head.partition(b'content-length: ')
+        length = int(rest.partition(b'\r\n')[0])
+        return head, await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionResetError):
+        return b'', b''
+
+
+async def _until(condition: collections.abc.Callable[[], bool]) -> None:
+    async with asyncio.timeout(_TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _run(
+    check: collections.abc.Callable[
+        [_Stopping], collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    async def scenario() -> None:
+        async with _stopping_node() as stopping:
+            await check(stopping)
+
+    asyncio.run(scenario())
+
+
+def test_request_that_can_outlast_a_stop_is_refused_and_not_cut() -> None:
+    """Guards against a request that the end of a planned stop cuts.
+
+    It came late in the grace time, and its timeout ends after the grace time.
+    """
+
+    async def check(stopping: _Stopping) -> None:
+        stopping.upstream.work_s = _LONG_S / 2
+        head, _ = await stopping.send_late('/long/late')
+        assert head[9:12] == b'503'
+        assert b'retry-after: ' in head
+        assert b'connection: close' in head
+        assert 'long/late' not in str(stopping.upstream.received)
+
+    _run(check)
+
+
+def test_request_that_ends_in_the_grace_time_is_served() -> None:
+    """Guards against a stopping node that refuses what it can finish."""
+
+    async def check(stopping: _Stopping) -> None:
+        head, body = await stopping.send_late('/short/late')
+        assert (head[9:12], body) == (b'200', b'done')
+        assert b'connection: close' in head
+
+    _run(check)
+
+
+def test_request_before_the_stop_is_known_is_served() -> None:
+    """Guards against refusals of clients that cannot know of the stop."""
+
+    async def check(stopping: _Stopping) -> None:
+        # /long/first was sent when the stop had begun; its response is
+        # checked at the end of the scenario.
+        assert stopping.upstream.received[0] == '/long/first'
+
+    _run(check)
+
+
+def test_late_call_of_another_node_is_refused_and_not_cut() -> None:
+    """Guards against a call that the end of the owner's stop cuts.
+
+    The entry node has not heard of the stop. It can send the call to another
+    owner, since the refusal says that the request was not run.
+    """
+
+    async def check(stopping: _Stopping) -> None:
+        await _until(lambda: stopping.node.listener.is_stopping)
+        answer = await stopping.node.owner.handle(_make_call(_LONG_S))
+        assert answer.kind is errors.ErrorKind.STOPPING
+        assert answer.outcome is errors.Outcome.NOT_RUN
+        answer = await stopping.node.owner.handle(_make_call(_SHORT_S))
+        assert answer.kind is errors.ErrorKind.NONE
+
+    _run(check)
+
+
+def _make_call(deadline_s: float) -> messages.Call:
+    return messages.Call(
+        service=messages.ServiceName('siop'),
+        method='GET',
+        path='/called',
+        deadline_ms=round(deadline_s * 1000),
+        attempts=1,
+        request_id=b'called',
+    )
