Answer all pipelined requests before a connection is closed

Cause: the listener starts a task for each pipelined request at once, marks a response as closing when its handler returns, and cancelled all exchanges behind a closing response. In a planned stop that is every response; any response that closes for another reason did the same. The class: work is ended by a decision about another request.

Change: whether a response closes the connection is decided when it is written. While responses are pending behind it, it does not; the last one does. No request is read after the decision.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -2,7 +2,8 @@
 
 Pipelined requests of a connection are handled concurrently, and their
 responses are sent in the order of the requests. A request is passed to its
-handler after its body has been read. Closing the connection cancels its
+handler after its body has been read. A response announces the close of the
+connection only if it is the last one. Closing the connection cancels its
 pending requests. The limits on headers, bodies and idle time can be changed
 while connections are open.
 
@@ -75,8 +76,6 @@
     """
 
     CLIENT_LEFT = 'client_left'
-    # An earlier response of the connection announced its close.
-    CLOSING_RESPONSE = 'closing_response'
     LISTENER_CLOSED = 'listener_closed'
 
 
@@ -122,7 +121,8 @@
     # Headers other than Connection and Content-Length.
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b''
-    # Whether to close the connection after the response.
+    # Whether to close the connection. No more requests are read from it; those
+    # that have been read are answered first.
     closes_connection: bool = False
     # Encoded lines of additional headers, each with its line end.
     encoded_headers: bytes = b''
@@ -138,8 +138,8 @@
     """A request and its response."""
 
     # None until the handler has returned.
-    encoded_response: bytes | None = None
-    # Whether to close the connection after the response.
+    response: Response | None = None
+    # Whether the client asked to close the connection after the response.
     closes_connection: bool = False
     # A response to HEAD has no body.
     is_head: bool = False
@@ -338,28 +338,32 @@
         self._complete(exchange, response)
 
     def _complete(self, exchange: _Exchange, response: Response) -> None:
-        exchange.closes_connection |= (
-            response.closes_connection or self.listener.is_stopping
-        )
         exchange.task = None
-        exchange.encoded_response = _encode_response(response, exchange)
-        if exchange.closes_connection:
+        exchange.response = response
+        if exchange.closes_connection or response.closes_connection:
             self.is_closing = True
         self._flush()
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
         was_full = len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
-        while (
-            self.exchanges and self.exchanges[0].encoded_response is not None
-        ):
-            exchange = self.exchanges.popleft()
-            self.transport.write(exchange.encoded_response)
+        while self.exchanges:
+            exchange = self.exchanges[0]
+            if exchange.response is None:
+                break
+            self.exchanges.popleft()
+            # For the client, requests after a closing response were not
+            # processed (RFC 9112, section 9.6), so all requests that have been
+            # read are answered before the connection is closed.
+            is_last = not self.exchanges and (
+                self.is_closing or self.listener.is_stopping
+            )
+            self.transport.write(
+                _encode_response(exchange.response, exchange.is_head, is_last)
+            )
             self.last_active_at = clock.recent()
-            if exchange.closes_connection:
-                # For the client, requests after a closing response were not
-                # processed (RFC 9112, section 9.6).
-                self._cut_exchanges(CutReason.CLOSING_RESPONSE)
+            if is_last:
+                self.is_closing = True
                 self.transport.close()
                 return
         if was_full:
@@ -384,7 +388,9 @@
             self.transport.close()
 
 
-def _encode_response(response: Response, exchange: _Exchange) -> bytes:
+def _encode_response(
+    response: Response, is_head: bool, closes_connection: bool
+) -> bytes:
     status = response.status
     parts = [
         b'HTTP/1.1 %d %s\r\n' % (status, _REASON_PHRASES.get(status, b''))
@@ -395,10 +401,10 @@
     parts.append(response.encoded_headers)
     if status not in _BODILESS_STATUSES:
         parts.append(b'content-length: %d\r\n' % len(response.body))
-    if exchange.closes_connection:
+    if closes_connection:
         parts.append(b'connection: close\r\n')
     parts.append(b'\r\n')
-    if not exchange.is_head and status not in _BODILESS_STATUSES:
+    if not is_head and status not in _BODILESS_STATUSES:
         parts.append(response.body)
     return b''.join(parts)
 
@@ -412,7 +418,8 @@
         self.limits = Limits()
         # Number of requests that are being handled.
         self.active_requests = 0
-        # Whether every response closes its connection.
+        # Whether a connection is closed when its pending requests have been
+        # answered.
         self.is_stopping = False
         self.connections: set[_Connection] = set()
         self.servers: dict[str, asyncio.Server] = {}
