Read a connection to its end after its last response

What callers saw: an answer that broke off, or none at all, with a reset, although the node had written it whole (LOST).

Cause: the listener closed the socket at once after a closing response. A request that crosses the close (pipelined, or sent on a connection that is kept) lies unread then, the kernel resets the connection, and a reset discards what the client has not received. The class: a close that does not wait for the other side.

Change: after its last response a connection sends the end of the stream and is read until the client closes it, for one second at most; what arrives is ignored, as the client has been told. A graceful close waits for that.

Measured: tests of the listener, the platform and base pass three times.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -45,6 +45,10 @@
 
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 
+# After its last response a connection is read for this long, until the client
+# closes it.
+_LINGER_S = 1.0
+
 # A graceful close first waits this long for the first bytes of connections
 # that have just been accepted.
 _FIRST_READ_WAIT_S = 0.05
@@ -166,6 +170,11 @@
         self.header_bytes = 0
         # No more requests are read; pending responses are still sent.
         self.is_closing = False
+        # Whether the last response has been written. The connection is then
+        # read until the client closes it, because the kernel resets a
+        # connection that is closed with unread bytes, and the client would
+        # lose what it has not received yet.
+        self.is_lingering = False
         self.is_write_paused = False
         self._reset()
 
@@ -363,20 +372,40 @@
             )
             self.last_active_at = clock.recent()
             if is_last:
-                self.is_closing = True
-                self.transport.close()
+                self._linger()
                 return
         if was_full:
             self._update_reading()
 
-    def has_pending_requests(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return bool(self.request_started_at or self.exchanges)
+    def _linger(self) -> None:
+        """Send the end of the stream; ignore what still arrives."""
+        self.is_closing = True
+        self.is_lingering = True
+        self.request_started_at = 0.0
+        # The client may have reset the connection.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
+        self._update_reading()
+
+    def is_finished(self) -> bool:
+        """Return whether the connection can be closed without any loss."""
+        if self.is_lingering:
+            return self._has_lingered(clock.recent())
+        return not self.request_started_at and not self.exchanges
+
+    def _has_lingered(self, now: float) -> bool:
+        return (
+            now - self.last_active_at > _LINGER_S
+            and not self.transport.get_write_buffer_size()
+        )
 
     def check_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle or its headers are late."""
+        """Close the connection if it is idle or done, or headers are late."""
         limits = self.listener.limits
-        if self.request_started_at:
+        if self.is_lingering:
+            if self._has_lingered(now):
+                self.transport.close()
+        elif self.request_started_at:
             if self.is_in_headers and (
                 now - self.request_started_at > limits.header_timeout_s
             ):
@@ -485,7 +514,7 @@
             # There is no await between the check and the close, so that no
             # request is read in between.
             for connection in list(self.connections):
-                if not connection.has_pending_requests():
+                if connection.is_finished():
                     connection.transport.close()
             if not self.connections or clock.recent() >= deadline:
                 break
