Refuse requests that can outlast a planned stop

What callers saw: a request that came late in the grace time of one node was passed on, and at 0.9 of the grace (9.2 s after SIGTERM on the large deployment, 5.6 s on the small one) its connection was closed without an answer, while its upstream ran it on (LOST). A call of another node was cut in the same way at its owner; a call that may not be repeated then failed with an unknown outcome.

Cause: a stopping node admits everything until it closes, whatever time the request may need. The class: work is admitted without a look at the time left, at a point where the process knows when it ends.

Change: PlannedStop, one for both sides of a node. When the settle time is over, a request is accepted only if its deadline (the least of the client's, the route's timeout and the parent's) is before the end of the stop; any other is refused at once as not run, with the time until the next process is there, and its connection is closed. So each class gets the time that its own timeout needs. Before the links of other nodes are closed, no call is taken any more and those in progress are waited for: between the check for idleness and the close a call could be taken and cut.

Requests of the settle time are accepted as before: clients cannot know of the stop yet.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -39,6 +39,9 @@
 # Time to record pending outcomes at a planned stop, seconds.
 _DRAIN_TIMEOUT_S = 5.0
 
+# Interval at which a stopping node checks for calls in progress, seconds.
+_FINISH_POLL_INTERVAL_S = 0.02
+
 # Retry policy for meshes with their own dialect, which count every send to an
 # upstream as an attempt.
 _MESH_RETRY_POLICY = relay.RetryPolicy(
@@ -150,6 +153,15 @@
         remaining_s = started_at + self.options.lease_s - clock.now()
         await asyncio.sleep(max(0.0, remaining_s))
 
+    async def finish_calls(self, end: float) -> None:
+        """Accept no more calls, and wait for those in progress until end.
+
+        Calls of other nodes can arrive until their links are closed.
+        """
+        self.owner.planned_stop.set_end(clock.now())
+        while self.owner.active and clock.now() < end:
+            await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
+
     async def stop_components(self) -> None:
         """Close all links and cancel the tasks."""
         await self.claimer.drain(_DRAIN_TIMEOUT_S)
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -25,6 +25,7 @@
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import exchange
 from godwitstall.node import headers
+from godwitstall.node import planned_stop
 from godwitstall.node import slots
 from godwitstall.node import upstream as upstream_module
 from godwitstall.node import upstream_client
@@ -118,6 +119,7 @@
         )
         # Number of calls in handle(), including queued calls.
         self.active = 0
+        self.planned_stop = planned_stop.PlannedStop()
         self.throttle = chain_throttle.ChainThrottle()
         self.random = random.Random()
         # Serializes suspect requests, so that a crash can be attributed to
@@ -172,6 +174,7 @@
     async def _admit(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
+        self.planned_stop.check(deadline)
         self._check_ready()
         if call.service != self.options.service:
             # A node of the other service had this address before.
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -25,6 +25,7 @@
 from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
+from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
@@ -58,6 +59,7 @@
         allowance: allowance_module.Allowance,
         contexts: context.Contexts,
         sender: relay.Relay,
+        planned_stop: planned_stop_module.PlannedStop,
     ) -> None:
         self.options = options
         self.dialect = dialect
@@ -66,6 +68,7 @@
         self.allowance = allowance
         self.contexts = contexts
         self.sender = sender
+        self.planned_stop = planned_stop
         self.random = random.Random()
         # Headers that are not forwarded from a caller to an upstream.
         self.reserved_headers = frozenset(
@@ -172,6 +175,10 @@
         key = self._find_key(request, route)
         workspace = self.view.workspaces.get(key.workspace) if key else None
         call, deadline = self._build_call(request, route, key, workspace)
+        parent = self.contexts.find_parent(call.request_id)
+        if parent is not None:
+            deadline = min(deadline, parent.deadline)
+        self.planned_stop.check(deadline)
         if self.view.is_quarantined(call.fingerprint):
             raise errors.RequestError(errors.ErrorKind.QUARANTINED)
         if workspace is not None and workspace.rate:
@@ -179,7 +186,6 @@
             if not self.allowance.try_take(workspace_name, clock.now()):
                 self.session.grant_wanted.set()
                 await self.allowance.take(workspace_name, deadline)
-        parent = self.contexts.find_parent(call.request_id)
         if parent is None:
             return await self._send(call, route, deadline)
         call.is_onward = True
@@ -198,9 +204,7 @@
         parent.start_onward_call(clock.recent())
         is_served = False
         try:
-            answer = await self._send(
-                call, route, min(deadline, parent.deadline)
-            )
+            answer = await self._send(call, route, deadline)
             is_served = answer.status < _FIRST_SERVER_ERROR_STATUS
         finally:
             parent.end_onward_call(clock.recent())
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -51,6 +51,7 @@
             self.allowance,
             self.contexts,
             self.relay,
+            self.owner.planned_stop,
         )
         self.listener = http_listener.Listener(
             {options.caller_address: self.gateway.serve}
@@ -111,14 +112,16 @@
         """Stop as planned, without aborting requests.
 
         The readiness endpoint tells callers to use other nodes; the listener
-        stays open until they do. The node stops once it has been idle for a
-        while, or when the time for the planned stop is over.
+        stays open until they do. Requests that come later are accepted only if
+        they end before the stop does. The node stops once it has been idle for
+        a while, or when the time for the planned stop is over.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         end = clock.now() + self.options.planned_stop_s()
         self.is_stopping = True
         await self.leave_and_settle()
         self._log_stop('stop_settled', end)
+        self.owner.planned_stop.set_end(end)
         self.listener.is_stopping = True
         idle_since = clock.now()
         while clock.now() < end:
@@ -132,6 +135,7 @@
         await self.listener.close_gracefully(
             max(end - clock.now(), _MIN_FINISH_S)
         )
+        await self.finish_calls(end)
         await self.stop_components()
 
     def _log_stop(self, event: str, end: float) -> None:
--- /dev/null
+++ b/godwitstall/node/planned_stop.py
@@ -0,0 +1,51 @@
+"""Decides which requests a node still accepts during its planned stop.
+
+At first a stopping node accepts all requests, because callers and other nodes
+cannot know of the stop yet. After that, it accepts a request only if its
+deadline is before the end of the stop. A request that has been accepted is
+therefore answered, and one that could be cut is rejected before it runs.
+
+Example:
+    stop = PlannedStop()
+    stop.set_end(clock.now() + 6.5)
+    stop.check(deadline)
+"""
+
+import math
+
+from godwitstall import clock
+from godwitstall import errors
+
+# The response to a request is sent at most this long after its deadline,
+# seconds.
+_RESPONSE_DELAY_S = 0.3
+
+# Time from the end of a stop until the next process accepts requests, seconds.
+_RESTART_S = 0.5
+
+
+class PlannedStop:
+    """The end of a planned stop; a node that is not stopping has none."""
+
+    def __init__(self) -> None:
+        # Time at which the node cuts what is left, seconds of clock.now().
+        self.end = math.inf
+
+    def set_end(self, end: float) -> None:
+        """Accept only requests whose deadlines are before this time."""
+        self.end = end
+
+    def check(self, deadline: float) -> None:
+        """Accept a request with a deadline in seconds of clock.now().
+
+        Errors: RequestError of kind STOPPING, with the time until the next
+        process of the node is there.
+        """
+        if deadline + _RESPONSE_DELAY_S <= self.end:
+            return
+        left_s = max(0.0, self.end - clock.recent())
+        raise errors.RequestError(
+            errors.ErrorKind.STOPPING,
+            'The node stops before the deadline of the request.',
+            round((left_s + _RESTART_S) * 1000),
+        )
--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -67,9 +67,13 @@
     upstream: _Upstream
     stop: asyncio.Task[None]
 
-    async def send_late(self, target: str) -> tuple[bytes, bytes]:
+    async def send_late(
+        self, target: str, work_s: float
+    ) -> tuple[bytes, bytes]:
         """Send a request when the settle time is over; return its response.
 
+        work_s is the time that the upstream would take for it.
+
         Returns head and body, both empty if the connection is closed without
         a response.
         """
@@ -81,6 +85,7 @@
         async with asyncio.timeout(_TIMEOUT_S):
             await _read_response(reader)
             await _until(lambda: self.node.listener.is_stopping)
+            self.upstream.work_s = work_s
             writer.write(_encode(target))
             response = await _read_response(reader)
         writer.close()
@@ -223,8 +228,7 @@
     """
 
     async def check(stopping: _Stopping) -> None:
-        stopping.upstream.work_s = _LONG_S / 2
-        head, _ = await stopping.send_late('/long/late')
+        head, _ = await stopping.send_late('/long/late', _LONG_S / 2)
         assert head[9:12] == b'503'
         assert b'retry-after: ' in head
         assert b'connection: close' in head
@@ -237,7 +241,7 @@
     """Guards against a stopping node that refuses what it can finish."""
 
     async def check(stopping: _Stopping) -> None:
-        head, body = await stopping.send_late('/short/late')
+        head, body = await stopping.send_late('/short/late', 0.0)
         assert (head[9:12], body) == (b'200', b'done')
         assert b'connection: close' in head
 
@@ -280,5 +284,6 @@
         path='/called',
         deadline_ms=round(deadline_s * 1000),
         attempts=1,
+        headers=b'x-id: called\r\n',
         request_id=b'called',
     )
