--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -2,7 +2,8 @@
 
 Pipelined requests of a connection are handled concurrently, and their
 responses are sent in the order of the requests. A request is passed to its
-handler after its body has been read. Closing the connection cancels its
+handler after its body has been read. A response announces the close of the
+connection only if it is the last one. Closing the connection cancels its
 pending requests. The limits on headers, bodies and idle time can be changed
 while connections are open.
 
@@ -16,6 +17,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import enum
 import http
 import socket
 import typing
@@ -31,6 +33,9 @@
 _BAD_REQUESTS = metrics.counter(
     'http_bad_requests_total', 'Connections closed for bad requests by status.'
 )
+_CUT_REQUESTS = metrics.counter(
+    'http_cut_requests_total', 'Requests ended without a response by reason.'
+)
 
 # Connections that the kernel queues until the event loop accepts them.
 _BACKLOG = 2048
@@ -40,6 +45,10 @@
 
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 
+# After its last response a connection is read for this long, until the client
+# closes it.
+_LINGER_S = 1.0
+
 # A graceful close first waits this long for the first bytes of connections
 # that have just been accepted.
 _FIRST_READ_WAIT_S = 0.05
@@ -64,6 +73,16 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+class CutReason(enum.Enum):
+    """Why a request ends without a response.
+
+    The task of its handler is cancelled with the value as the message.
+    """
+
+    CLIENT_LEFT = 'client_left'
+    LISTENER_CLOSED = 'listener_closed'
+
+
 @dataclasses.dataclass(slots=True)
 class Limits:
     """Limits on the requests of clients."""
@@ -106,7 +125,8 @@
     # Headers other than Connection and Content-Length.
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b''
-    # Whether to close the connection after the response.
+    # Whether to close the connection. No more requests are read from it; those
+    # that have been read are answered first.
     closes_connection: bool = False
     # Encoded lines of additional headers, each with its line end.
     encoded_headers: bytes = b''
@@ -122,8 +142,8 @@
     """A request and its response."""
 
     # None until the handler has returned.
-    encoded_response: bytes | None = None
-    # Whether to close the connection after the response.
+    response: Response | None = None
+    # Whether the client asked to close the connection after the response.
     closes_connection: bool = False
     # A response to HEAD has no body.
     is_head: bool = False
@@ -150,6 +170,11 @@
         self.header_bytes = 0
         # No more requests are read; pending responses are still sent.
         self.is_closing = False
+        # Whether the last response has been written. The connection is then
+        # read until the client closes it, because the kernel resets a
+        # connection that is closed with unread bytes, and the client would
+        # lose what it has not received yet.
+        self.is_lingering = False
         self.is_write_paused = False
         self._reset()
 
@@ -168,9 +193,19 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.connections.discard(self)
         self.is_closing = True
+        self._cut_exchanges(CutReason.CLIENT_LEFT)
+
+    def close(self) -> None:
+        """Close the connection; pending requests get no response."""
+        self._cut_exchanges(CutReason.LISTENER_CLOSED)
+        self.transport.close()
+
+    def _cut_exchanges(self, reason: CutReason) -> None:
+        """Cancel the handlers of the pending requests."""
         for exchange in self.exchanges:
             if exchange.task is not None:
-                exchange.task.cancel()
+                _CUT_REQUESTS.inc(reason=reason.value)
+                exchange.task.cancel(reason.value)
         self.exchanges.clear()
 
     def pause_writing(self) -> None:
@@ -312,44 +347,65 @@
         self._complete(exchange, response)
 
     def _complete(self, exchange: _Exchange, response: Response) -> None:
-        exchange.closes_connection |= (
-            response.closes_connection or self.listener.is_stopping
-        )
         exchange.task = None
-        exchange.encoded_response = _encode_response(response, exchange)
-        if exchange.closes_connection:
+        exchange.response = response
+        if exchange.closes_connection or response.closes_connection:
             self.is_closing = True
         self._flush()
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
         was_full = len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
-        while (
-            self.exchanges and self.exchanges[0].encoded_response is not None
-        ):
-            exchange = self.exchanges.popleft()
-            self.transport.write(exchange.encoded_response)
+        while self.exchanges:
+            exchange = self.exchanges[0]
+            if exchange.response is None:
+                break
+            self.exchanges.popleft()
+            # For the client, requests after a closing response were not
+            # processed (RFC 9112, section 9.6), so all requests that have been
+            # read are answered before the connection is closed.
+            is_last = not self.exchanges and (
+                self.is_closing or self.listener.is_stopping
+            )
+            self.transport.write(
+                _encode_response(exchange.response, exchange.is_head, is_last)
+            )
             self.last_active_at = clock.recent()
-            if exchange.closes_connection:
-                # For the client, requests after a closing response were not
-                # processed (RFC 9112, section 9.6).
-                for skipped in self.exchanges:
-                    if skipped.task is not None:
-                        skipped.task.cancel()
-                self.exchanges.clear()
-                self.transport.close()
+            if is_last:
+                self._linger()
                 return
         if was_full:
             self._update_reading()
 
-    def has_pending_requests(self) -> bool:
-        """Return whether a request is being read or handled."""
-        return bool(self.request_started_at or self.exchanges)
+    def _linger(self) -> None:
+        """Send the end of the stream; ignore what still arrives."""
+        self.is_closing = True
+        self.is_lingering = True
+        self.request_started_at = 0.0
+        # The client may have reset the connection.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
+        self._update_reading()
+
+    def is_finished(self) -> bool:
+        """Return whether the connection can be closed without any loss."""
+        if self.is_lingering:
+            return self._has_lingered(clock.recent())
+        return not self.request_started_at and not self.exchanges
+
+    def _has_lingered(self, now: float) -> bool:
+        return (
+            now - self.last_active_at > _LINGER_S
+            and not self.transport.get_write_buffer_size()
+        )
 
     def check_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle or its headers are late."""
+        """Close the connection if it is idle or done, or headers are late."""
         limits = self.listener.limits
-        if self.request_started_at:
+        if self.is_lingering:
+            if self._has_lingered(now):
+                self.transport.close()
+        elif self.request_started_at:
             if self.is_in_headers and (
                 now - self.request_started_at > limits.header_timeout_s
             ):
@@ -361,7 +417,9 @@
             self.transport.close()
 
 
-def _encode_response(response: Response, exchange: _Exchange) -> bytes:
+def _encode_response(
+    response: Response, is_head: bool, closes_connection: bool
+) -> bytes:
     status = response.status
     parts = [
         b'HTTP/1.1 %d %s\r\n' % (status, _REASON_PHRASES.get(status, b''))
@@ -372,10 +430,10 @@
     parts.append(response.encoded_headers)
     if status not in _BODILESS_STATUSES:
         parts.append(b'content-length: %d\r\n' % len(response.body))
-    if exchange.closes_connection:
+    if closes_connection:
         parts.append(b'connection: close\r\n')
     parts.append(b'\r\n')
-    if not exchange.is_head and status not in _BODILESS_STATUSES:
+    if not is_head and status not in _BODILESS_STATUSES:
         parts.append(response.body)
     return b''.join(parts)
 
@@ -389,7 +447,8 @@
         self.limits = Limits()
         # Number of requests that are being handled.
         self.active_requests = 0
-        # Whether every response closes its connection.
+        # Whether a connection is closed when its pending requests have been
+        # answered.
         self.is_stopping = False
         self.connections: set[_Connection] = set()
         self.servers: dict[str, asyncio.Server] = {}
@@ -455,7 +514,7 @@
             # There is no await between the check and the close, so that no
             # request is read in between.
             for connection in list(self.connections):
-                if not connection.has_pending_requests():
+                if connection.is_finished():
                     connection.transport.close()
             if not self.connections or clock.recent() >= deadline:
                 break
@@ -473,4 +532,4 @@
             with contextlib.suppress(asyncio.CancelledError):
                 await self.timeout_task
         for connection in list(self.connections):
-            connection.transport.close()
+            connection.close()
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -6,6 +6,7 @@
 sends it to an owner.
 """
 
+import asyncio
 import itertools
 import json
 import random
@@ -24,6 +25,7 @@
 from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
+from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
@@ -57,6 +59,7 @@
         allowance: allowance_module.Allowance,
         contexts: context.Contexts,
         sender: relay.Relay,
+        planned_stop: planned_stop_module.PlannedStop,
     ) -> None:
         self.options = options
         self.dialect = dialect
@@ -65,6 +68,7 @@
         self.allowance = allowance
         self.contexts = contexts
         self.sender = sender
+        self.planned_stop = planned_stop
         self.random = random.Random()
         # Headers that are not forwarded from a caller to an upstream.
         self.reserved_headers = frozenset(
@@ -88,6 +92,9 @@
             answer = await self._admit(request, route)
         except errors.RequestError as e:
             answer = dispatch.error_answer(e)
+        except asyncio.CancelledError as e:
+            self._log_cut(request, route_name, e)
+            raise
         _REQUESTS.inc(route=route_name, kind=answer.kind.label)
         _REQUEST_SECONDS.observe(
             clock.recent() - request.received_at,
@@ -129,6 +136,25 @@
             lease_left_ms=round((self.session.lease_until - now) * 1000),
         )
 
+    def _log_cut(
+        self,
+        request: http_listener.Request,
+        route_name: str,
+        cancellation: asyncio.CancelledError,
+    ) -> None:
+        """Log a request that ends without an answer."""
+        decisions.write(
+            _LOG_PART,
+            'cut',
+            request=request.header(self.dialect.attempt_id).decode('latin-1'),
+            route=route_name,
+            reason=str(cancellation),
+            client_deadline_ms=request.header(self.dialect.deadline_ms).decode(
+                'latin-1'
+            ),
+            took_ms=round((clock.recent() - request.received_at) * 1000),
+        )
+
     def _match_route(self, request: http_listener.Request) -> messages.Route:
         if self.view.index < 0 or not self.view.number:
             raise errors.RequestError(
@@ -149,6 +175,10 @@
         key = self._find_key(request, route)
         workspace = self.view.workspaces.get(key.workspace) if key else None
         call, deadline = self._build_call(request, route, key, workspace)
+        parent = self.contexts.find_parent(call.request_id)
+        if parent is not None:
+            deadline = min(deadline, parent.deadline)
+        self.planned_stop.check(deadline)
         if self.view.is_quarantined(call.fingerprint):
             raise errors.RequestError(errors.ErrorKind.QUARANTINED)
         if workspace is not None and workspace.rate:
@@ -156,7 +186,6 @@
             if not self.allowance.try_take(workspace_name, clock.now()):
                 self.session.grant_wanted.set()
                 await self.allowance.take(workspace_name, deadline)
-        parent = self.contexts.find_parent(call.request_id)
         if parent is None:
             return await self._send(call, route, deadline)
         call.is_onward = True
@@ -175,9 +204,7 @@
         parent.start_onward_call(clock.recent())
         is_served = False
         try:
-            answer = await self._send(
-                call, route, min(deadline, parent.deadline)
-            )
+            answer = await self._send(call, route, deadline)
             is_served = answer.status < _FIRST_SERVER_ERROR_STATUS
         finally:
             parent.end_onward_call(clock.recent())
