Refuse late requests at the own interface of a node as well

What callers saw: a request on a kept connection late in a planned stop of a node with its own interface (godwitstall-node) was taken, and ended with 500 when the server was stopped: an internal error, outcome unknown.

Change: the entry checks the deadline of requests and of onward calls with the PlannedStop of the node, and the program waits for calls in progress before it closes the links of other nodes.

Evidence: test_late_request_that_can_outlast_a_stop failed before with 500 in place of 503, stopping, not run.

Measured: tests of the planned stop, the server and the path pass twice.

--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -27,6 +27,7 @@
 from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
+from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
 from godwitstall.node import upstream as upstream_module
 from godwitstall.rates import allowance as allowance_module
@@ -128,6 +129,7 @@
         contexts: context.Contexts,
         upstream: upstream_module.Upstream,
         sender: relay.Relay,
+        planned_stop: planned_stop_module.PlannedStop,
     ) -> None:
         self.options = options
         self.view = view
@@ -136,6 +138,7 @@
         self.contexts = contexts
         self.upstream = upstream
         self.sender = sender
+        self.planned_stop = planned_stop
         # Whether answers ask callers to close their connections.
         self.is_stopping = False
         # Number of requests inside the applications.
@@ -248,6 +251,7 @@
         )
         attempts = self._max_attempts(request, route)
         deadline = now + call.deadline_ms / 1000
+        self.planned_stop.check(deadline)
         if self.view.is_quarantined(call.fingerprint):
             answer = dispatch.error_answer(
                 errors.RequestError(errors.ErrorKind.QUARANTINED)
@@ -313,6 +317,7 @@
         call.key_id = parent.key_id
         call.priority = parent.priority
         deadline = min(parent.deadline, now + call.deadline_ms / 1000)
+        self.planned_stop.check(deadline)
         call.deadline_ms = max(1, int((deadline - now) * 1000))
         attempts = parent.budget.reserve(self._max_attempts(request, route))
         attempts_used = attempts
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -61,6 +61,7 @@
             self.contexts,
             self.upstream,
             self.relay,
+            self.owner.planned_stop,
         )
         admin_app = admin.create_app(self.dump, self.is_healthy)
         apps: dict[str, typing.Any] = {
@@ -98,6 +99,7 @@
         self.entry.is_stopping = True
         await self.leave_and_settle()
         deadline = clock.now() + self.options.planned_stop_s()
+        self.owner.planned_stop.set_end(deadline)
         # New calls must not use up the time left for the running requests, so
         # new connections are refused and callers connect to another node.
         await self.server.stop_accepting(self.options.caller_address)
@@ -107,6 +109,7 @@
         ):
             await asyncio.sleep(_POLL_INTERVAL_S)
         await self.server.stop(max(1.0, deadline - clock.now()))
+        await self.finish_calls(deadline)
         await self.stop_components()
 
     def _is_busy(self) -> bool:
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -158,6 +158,58 @@
     asyncio.run(run())
 
 
+def test_late_request_that_can_outlast_a_stop(tmp_path: pathlib.Path) -> None:
+    """Guards against a request that the end of a planned stop cuts.
+
+    It comes on a connection that was idle when the stop began, and its
+    deadline is after the end of the stop.
+    """
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path,
+            _NOTE,
+            {'siop-1': 'siop', 'siop-2': 'siop'},
+            stop_timeout_s=2.0,
+        ) as (_, [node, other]):
+            is_released = asyncio.Event()
+
+            async def respond(
+                request: fakes.ReceivedRequest, writer: asyncio.StreamWriter
+            ) -> None:
+                if request.path != '/orders/short':
+                    await is_released.wait()
+                await fakes.echo(request, writer)
+
+            node.upstream.respond = other.upstream.respond = respond
+            running = asyncio.create_task(node.call('/orders/running', _KEY))
+            await fakes.until(
+                lambda: bool(node.upstream.runs or other.upstream.runs),
+                'a call runs',
+            )
+            # Leaves an idle connection in the pool of the client.
+            assert (await node.call('/orders/short', _KEY)).status == 200
+            stop = asyncio.create_task(node.node.stop())
+            await fakes.until(
+                lambda: (
+                    not node.node.server.is_accepting(
+                        node.options.caller_address
+                    )
+                ),
+                'caller listener closed',
+            )
+            late = await node.call('/orders/late', _KEY)
+            assert late.status == 503
+            assert late.headers['godwitstall-error'] == 'stopping'
+            assert late.headers['godwitstall-outcome'] == 'not-run'
+            assert late.headers['connection'] == 'close'
+            is_released.set()
+            assert (await running).status == 200
+            await stop
+
+    asyncio.run(run())
+
+
 def test_stop_that_another_node_does_not_hear_of(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
