Sync each deletion of a log file before the next one

Users could see: after a loss of power a control replica that does not start any more, and beside two lost disks a fleet without a majority, which serves no configuration at all. Cause: log files were deleted one after the other without a sync of the folder between, so that a loss of power could undo the deletion of an older file and not that of a newer one; a log with a gap is refused at the start. Why it works: files are deleted from one end of the log, and with a sync between them only the last deletion can be undone, which leaves no gap.

--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -524,8 +524,7 @@
             len(self.segments) > 1
             and self.segments[-1].first_index >= from_index
         ):
-            self.segments.pop().path.unlink()
-        sync_folder(self.folder)
+            self._delete_segment(-1)
         segment = self.segments[-1]
         kept_count = max(0, from_index - segment.first_index)
         if kept_count < len(segment.offsets):
@@ -538,7 +537,16 @@
     def delete_before(self, index: int) -> None:
         """Delete segments that contain only entries before index."""
         while len(self.segments) > 1 and self.segments[1].first_index <= index:
-            self.segments.pop(0).path.unlink()
+            self._delete_segment(0)
+
+    def _delete_segment(self, position: int) -> None:
+        """Delete the oldest or the newest segment.
+
+        The deletion is synced before the next one. Otherwise a loss of power
+        could undo it and not the next, which would leave a gap in the log.
+        """
+        self.segments.pop(position).path.unlink()
+        sync_folder(self.folder)
 
     def reset(self, first_index: int) -> None:
         """Delete all records and continue at first_index.
@@ -550,8 +558,7 @@
         """
         self.close()
         while len(self.segments) > 1:
-            self.segments.pop().path.unlink()
-            sync_folder(self.folder)
+            self._delete_segment(-1)
         path = self.segments.pop().path
         with path.open('wb') as file:
             os.fsync(file.fileno())
