Sync what a replica reads at its start

Users could see: an acknowledged configuration that is gone, or a replica that does not start, after a loss of power that follows the kill of a control process or a fault of its disk. Cause: a process that is killed between a write and its sync, or whose sync is refused, leaves an entry in the file that is not durable. The next start read it as durable, and the replica confirmed it to the leader without a sync. It was the same with the rename of the vote: the vote counted as stored, so it could be given twice in a term, or be older than the log, which a start refuses. Why it works: the last log file, the only one that can have unsynced records, and the folder are synced before the replica answers anything.

--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -215,6 +215,9 @@
         self.disk = storage.read_identity(
             self.folder, self.fleet.name, self.slot
         )
+        # A process that was killed may have renamed files without a sync of
+        # the folder, and what is read now counts as durable.
+        storage.sync_folder(self.folder)
         vote = storage.read_vote(self.folder)
         self.term, self.voted_for = vote.term, vote.voted_for
         self.election.stored_vote = vote
--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -458,7 +458,7 @@
         self.descriptor = -1
 
     def open(self) -> list[messages.Entry]:
-        """Return all entries, whose indexes are consecutive.
+        """Return all entries, whose indexes are consecutive and durable.
 
         Errors: StorageError for corruption that a crash cannot cause.
         """
@@ -478,6 +478,9 @@
             entries += segment.read(path == paths[-1])
             self.segments.append(segment)
         self._open_last_segment()
+        # The process that wrote the last entries may have been killed before
+        # their sync.
+        os.fsync(self.descriptor)
         return entries
 
     def close(self) -> None:
