--- a/godwitstall/consensus/follower.py
+++ b/godwitstall/consensus/follower.py
@@ -125,6 +125,12 @@
         end = chunk.offset + len(chunk.data)
         if chunk.last_index <= self.replica.commit_index:
             return end
+        if self.replica.log.matches(chunk.last_index, chunk.last_term):
+            # The log has all that the snapshot covers, and may have later
+            # entries that the leader counts as durable here.
+            await self.replica.log.sync()
+            self.replica.advance_commit(chunk.last_index)
+            return end
         key = (chunk.term, chunk.last_index, chunk.last_term)
         if self._partial_snapshot.key != key or chunk.offset == 0:
             self._partial_snapshot = _PartialSnapshot(key)
