Attribute answers by request id on connections used before

Seen: an upstream writes a refusal without a request id once more after the next request was sent on the connection, before its answer. The caller of that request was told "not run" (503) though the upstream ran it, and a call that is not idempotent was sent to a second upstream and ran twice. The refusal need not be that of a call: a refused probe has no id, and shares the connections.

Cause: an answer without an id was attributed by its position on the connection, also where the upstream returns ids. A second form of it: an answer with an id was taken for a request that has none.

Change: on a connection that has carried an answer, only an answer with the id of the request is accepted. One without an id leaves the outcome unknown and closes the connection; upstream_unattributed_answers_total counts it. As the first answer on its connection it is still accepted, since no other request can be meant, but the connection is then not kept. Only a healthy probe keeps its connection, as before. An exact copy of an earlier refusal thus always has an id, which shows that it belongs to another request, and the answer behind it is awaited.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -4,6 +4,10 @@
 a complete answer. It is closed after a timeout, a cancellation, a parse error
 or unexpected bytes, so that a late answer cannot reach another request.
 
+If upstreams return the id of the request, the id decides to which request an
+answer belongs. An answer without an id is accepted only as the first one on
+its connection, because it may otherwise belong to an earlier request.
+
 An answer without Content-Length and chunked coding ends when the connection
 is closed and cannot be distinguished from a truncated one. It counts as
 truncated, unless the upstreams are known to close a connection cleanly only
@@ -19,6 +23,7 @@
 
 import asyncio
 import dataclasses
+import enum
 import re
 import typing
 
@@ -36,6 +41,10 @@
     'upstream_stray_bytes_total',
     'Connections closed because of bytes that no request waited for.',
 )
+_UNATTRIBUTED_ANSWERS = metrics.counter(
+    'upstream_unattributed_answers_total',
+    'Answers without the id of a request on connections used before.',
+)
 _ENDLESS_ANSWERS = metrics.counter(
     'upstream_endless_answers_total',
     'Answers cut because their bytes came without an end.',
@@ -65,6 +74,7 @@
 
 _CONNECT_TIMEOUT_S = 1.0
 _FIRST_FINAL_STATUS = 200
+_FIRST_ERROR_STATUS = 400
 _BODILESS_STATUSES = (204, 304)
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
@@ -74,7 +84,8 @@
 class Framing:
     """How the upstreams frame and identify their answers."""
 
-    # Header that returns the id of the request; empty if there is none.
+    # Header in which all answers return the id of the request; empty if there
+    # is none.
     request_id_header: bytes = b''
     # Whether an answer without a length is complete when its connection is
     # closed cleanly.
@@ -95,6 +106,14 @@
     headers_at: float = 0.0
 
 
+class _Recipient(enum.Enum):
+    """The request to which an answer belongs."""
+
+    CURRENT = 0
+    OTHER = 1
+    UNKNOWN = 2
+
+
 class _Connection(asyncio.Protocol):
     """One connection, which parses the answer to its current request."""
 
@@ -107,8 +126,10 @@
         self.max_answer_bytes = max_answer_bytes
         self.framing = framing
         self.body_memory = body_memory
-        # Id that the answer must return; empty if it is not checked.
+        # Id that the answer must return; empty if the request has none.
         self.request_id = b''
+        # Whether a final answer was received on this connection.
+        self.has_received_answer = False
         # Maximum idle time of the connection, seconds.
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.transport: asyncio.Transport | None = None
@@ -312,23 +333,56 @@
             self.is_reusable = False
         self._finish()
 
-    def _is_for_other_request(self) -> bool:
-        """Return whether the answer has the id of another request."""
-        if not self.request_id:
-            return False
-        returned_id = find_header(
-            self.answer_headers, self.framing.request_id_header
-        )
-        return returned_id is not None and returned_id != self.request_id
+    def _returned_id(self) -> bytes:
+        """Return the request id in the answer, empty if there is none."""
+        header = self.framing.request_id_header
+        return find_header(self.answer_headers, header) or b''
+
+    def _recipient(self) -> _Recipient:
+        """Return to which request the answer belongs."""
+        if not self.framing.request_id_header:
+            return _Recipient.CURRENT
+        returned_id = self._returned_id()
+        if returned_id == self.request_id:
+            return _Recipient.CURRENT
+        if returned_id:
+            return _Recipient.OTHER
+        if self.has_received_answer:
+            return _Recipient.UNKNOWN
+        return _Recipient.CURRENT
+
+    def _allows_reuse(self) -> bool:
+        """Return whether later answers on the connection can be attributed.
+
+        An upstream that omits the id once may omit it again. A probe has no
+        id, so only its refusal counts: a copy of it must not reach a call.
+        """
+        if not self.framing.request_id_header or self._returned_id():
+            return True
+        return not self.request_id and self.status < _FIRST_ERROR_STATUS
 
     def _finish(self) -> None:
-        if self._is_for_other_request():
-            # This is a late answer to an earlier request; the expected one
-            # follows.
-            _STRAY_BYTES.inc()
+        recipient = self._recipient()
+        self.has_received_answer = True
+        match recipient:
+            case _Recipient.OTHER:
+                # The expected answer follows.
+                _STRAY_BYTES.inc()
+                self.is_reusable = False
+                self.has_all_headers = False
+            case _Recipient.UNKNOWN:
+                _UNATTRIBUTED_ANSWERS.inc()
+                self.fail(
+                    errors.ErrorKind.ANSWER_CUT,
+                    'The answer has no request id.',
+                )
+                self.close()
+            case _Recipient.CURRENT:
+                self._return_answer()
+
+    def _return_answer(self) -> None:
+        if not self._allows_reuse():
             self.is_reusable = False
-            self.has_all_headers = False
-            return
         keep_alive = find_header(self.answer_headers, b'keep-alive')
         timeout_match = (
             _KEEP_ALIVE_TIMEOUT.search(keep_alive) if keep_alive else None
@@ -410,8 +464,8 @@
         """Send one request and return its complete answer.
 
         host is the Host header, by default the address. request_id is the id
-        that the answer must return, if it returns one. deadline is in seconds
-        of clock.recent(). Errors: RequestError of kind OVERLOADED or
+        that the answer returns, empty if the request has none. deadline is in
+        seconds of clock.recent(). Errors: RequestError of kind OVERLOADED or
         UPSTREAM_UNREACHABLE if nothing was sent; UPSTREAM_LOST, ANSWER_CUT,
         ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT after that. A cancellation closes
         the connection, which notifies the upstream.
--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -254,6 +254,29 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('status', (*_REFUSAL_STATUSES, 200))
+def test_connection_ends_with_an_answer_without_id(status: int) -> None:
+    """Guards against answers that fail if an upstream returns no ids."""
+
+    async def scenario() -> None:
+        async with _client(_Upstream(_refusal(status, b''))) as client:
+            assert (await _send(client, b'first')).status == status
+            assert not client.idle
+
+    asyncio.run(scenario())
+
+
+def test_connection_is_kept_after_a_healthy_probe() -> None:
+    """Guards against a new connection for each probe."""
+
+    async def scenario() -> None:
+        async with _client(_Upstream(_refusal(200, b''))) as client:
+            assert (await _send(client, b'')).status == 200
+            assert len(client.idle) == 1
+
+    asyncio.run(scenario())
+
+
 class _Forwarder:
     """Delivers calls to the owners of a fleet."""
 
