Test refusals that are truncated when written once more

A faulty upstream may also send additional bytes behind an answer that are no whole answer. If it writes the start of an earlier refusal and then the answer to the next request, both form one head: the status and the not-run header of the refusal with the id of the next request.

--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -33,6 +33,12 @@
 
 _REFUSAL_STATUSES = (503, 429, 421, 400)
 
+# Starts of a refusal that form one head with the answer behind them.
+_TRUNCATED_REFUSALS = (
+    b'HTTP/1.1 503 Busy',
+    b'HTTP/1.1 503 Busy\r\nx-not-run: 1',
+)
+
 _REQUEST_ID = re.compile(rb'x-id: (\w+)\r\n')
 
 
@@ -153,11 +159,13 @@
 
 
 async def _send(
-    client: upstream_client.UpstreamClient, request_id: bytes
+    client: upstream_client.UpstreamClient,
+    request_id: bytes,
+    wait_s: float = _WAIT_S,
 ) -> upstream_client.UpstreamAnswer:
     block = b'x-id: %s\r\n' % request_id if request_id else b''
     return await client.send(
-        'GET', '/', block, b'', clock.now() + _WAIT_S, b'a', request_id
+        'GET', '/', block, b'', clock.now() + wait_s, b'a', request_id
     )
 
 
@@ -277,6 +285,35 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize('repeated_id', [b'first', b''])
+@pytest.mark.parametrize('is_written_in_bytes', [False, True])
+def test_truncated_refusal_is_not_joined_with_the_next_answer(
+    repeated_id: bytes, is_written_in_bytes: bool
+) -> None:
+    """Guards against the status of one answer with the id of another."""
+    first = _refusal(503, b'first')
+    repeated = _refusal(503, repeated_id)
+
+    async def check(cut: int) -> None:
+        upstream = _Upstream(
+            first, repeated[:cut], is_written_in_bytes=is_written_in_bytes
+        )
+        async with _client(upstream) as client:
+            await _send(client, b'first')
+            try:
+                answer = await _send(client, b'second', 20 * _PAUSE_S)
+            except errors.RequestError as e:
+                outcome = errors.ANSWERS[e.kind].outcome
+                assert outcome is errors.Outcome.UNKNOWN, cut
+            else:
+                assert (answer.status, answer.body) == (200, b'own'), cut
+
+    async def scenario() -> None:
+        await asyncio.gather(*(check(cut) for cut in range(len(repeated))))
+
+    asyncio.run(scenario())
+
+
 class _Forwarder:
     """Delivers calls to the owners of a fleet."""
 
@@ -441,3 +478,16 @@
     upstream = _Upstream(_refusal(status, b'first'), _refusal(status, b''))
     response = asyncio.run(_check_caller(upstream, is_idempotent, has_other))
     assert response.status == (200 if is_idempotent and has_other else 502)
+
+
+@pytest.mark.parametrize(
+    'start', _TRUNCATED_REFUSALS, ids=['status line', 'header line']
+)
+@pytest.mark.parametrize('has_other', [False, True])
+def test_caller_is_not_told_of_a_truncated_refusal(
+    start: bytes, has_other: bool
+) -> None:
+    """Guards against "not run" for a request that the upstream ran."""
+    upstream = _Upstream(_refusal(503, b'first'), start)
+    response = asyncio.run(_check_caller(upstream, False, has_other))
+    assert response.status == 502
