Reject answers whose head holds the start of another

Seen: an upstream writes the start of an earlier refusal once more, and then the answer to the next request. The caller of that request was told "not run" though it ran, or the call ran at a second upstream.

Cause: a start that ends in its reason phrase or in the value of a header takes in the status line behind it. Both answers then are one valid head with the first status and not-run header, and the id of the second.

Change: an answer is cut if a status line occurs in its reason phrase or in the value of a header, so that its outcome is unknown and its connection closed. Any other cut is a parse error or an answer with the id of another request. A header of an upstream that quotes a status line costs its answer; none of the platform does.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -77,6 +77,10 @@
 _FIRST_ERROR_STATUS = 400
 _BODILESS_STATUSES = (204, 304)
 
+# Start of an answer, which occurs inside of a head if a truncated answer and
+# the next one form one head.
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
 
 
@@ -142,6 +146,7 @@
         self.has_answer_bytes = False
         self.is_head = False
         self.status = 0
+        self.reason = b''
         self.answer_headers: list[tuple[bytes, bytes]] = []
         self.header_bytes = 0
         # Whether the header section has ended; later headers are trailers.
@@ -272,6 +277,7 @@
             self.is_reusable = False
             return
         self.status = 0
+        self.reason = b''
         self.answer_headers = []
         self.header_bytes = 0
         self.has_all_headers = False
@@ -281,6 +287,9 @@
         self.body_memory.size -= len(self.body)
         self.body = bytearray()
 
+    def on_status(self, reason: bytes) -> None:
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.waiter is None or self.waiter.done() or self.has_all_headers:
             # The headers of a second answer must not be added to the first,
@@ -296,6 +305,13 @@
         self.has_all_headers = True
         self.headers_at = clock.recent()
         self.status = self.parser.get_status_code()
+        if self._holds_other_answer():
+            self.fail(
+                errors.ErrorKind.ANSWER_CUT,
+                'A truncated answer precedes the answer.',
+            )
+            self.close()
+            return
         if self._content_length() > self.max_answer_bytes:
             self.fail(errors.ErrorKind.ANSWER_TOO_LARGE)
             self.close()
@@ -305,6 +321,12 @@
             self.is_reusable = False
             self._finish()
 
+    def _holds_other_answer(self) -> bool:
+        """Return whether the head holds the start of another answer."""
+        if _STATUS_LINE.search(self.reason):
+            return True
+        return any(_STATUS_LINE.search(v) for _, v in self.answer_headers)
+
     def on_body(self, body: bytes) -> None:
         if self.waiter is None or self.waiter.done():
             return
