Test answers of runs with the status of a refusal

Callers of the platform read 408, 429 and 503 as "not run, and never will be". An upstream states that by its not-run header only. An answer with such a status and without the header is passed on unchanged, so that the node tells what nobody knows.

--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -2,7 +2,7 @@
 
 The upstream refuses the first request, runs all others, and writes the refusal
 again at some point. No caller may be told that a request was not run because
-of a refusal that was meant for another request.
+of a refusal that was meant for another request, or because of a status alone.
 """
 
 import asyncio
@@ -62,10 +62,10 @@
     )
 
 
-def _success(request_id: bytes) -> bytes:
+def _run_answer(status: int, request_id: bytes) -> bytes:
     return (
-        b'HTTP/1.1 200 OK\r\nx-id: %s\r\nx-signature: s\r\n'
-        b'content-length: 3\r\n\r\nown' % request_id
+        b'HTTP/1.1 %d X\r\nx-id: %s\r\nx-signature: s\r\n'
+        b'content-length: 3\r\n\r\nown' % (status, request_id)
     )
 
 
@@ -78,6 +78,7 @@
         repeated: bytes = b'',
         time: _Time = _Time.BEFORE_THE_NEXT_ANSWER,
         is_written_in_bytes: bool = False,
+        run_status: int = 200,
     ) -> None:
         # Answer to the first request; empty if it is run like the others.
         self.first = first
@@ -85,6 +86,8 @@
         self.repeated = repeated
         self.time = time
         self.is_written_in_bytes = is_written_in_bytes
+        # Status of the answers to requests that were run.
+        self.run_status = run_status
         # Ids of the requests that were run.
         self.runs: list[bytes] = []
         # Awaited after each run has begun.
@@ -129,7 +132,7 @@
             await self._write(writer, due)
             due = b''
             await asyncio.sleep(_PAUSE_S)
-            writer.write(_success(request_id))
+            writer.write(_run_answer(self.run_status, request_id))
 
     def _take_first(self) -> bytes:
         first, self.first = self.first, b''
@@ -491,3 +494,14 @@
     upstream = _Upstream(_refusal(503, b'first'), start)
     response = asyncio.run(_check_caller(upstream, False, has_other))
     assert response.status == 502
+
+
+@_for_each_kind_of_call
+@pytest.mark.parametrize('status', [408, 429, 503])
+def test_caller_is_not_told_of_the_status_of_a_refusal(
+    status: int, is_idempotent: bool, has_other: bool
+) -> None:
+    """Guards against "not run" where the upstream has not said so."""
+    upstream = _Upstream(_refusal(503, b'first'), run_status=status)
+    response = asyncio.run(_check_caller(upstream, is_idempotent, has_other))
+    assert response.status == (200 if is_idempotent and has_other else 502)
