Pass no status of a refusal on without the word of the upstream

Seen: an upstream of the platform runs a request and answers 408, 429 or 503 without its not-run header. The caller gets that status, which is a promise on the platform, and sends a request again that may run once only.

Cause: classify_answer() looked at the header to find refusals, and took any other failure for an answer that can be passed on, though its status alone says the same to a caller.

Change: a status by which callers understand that nothing ran needs the header (421 is the platform's exception and names another process); without it the answer counts as cut. An idempotent request is sent elsewhere, any other gets 502. What such an answer says of the upstream (rate limit, leaving) is not read, as with other cut answers. The protocol of godwitstall itself is not affected: there a header tells the outcome, not the status.

--- a/godwitstall/node/exchange.py
+++ b/godwitstall/node/exchange.py
@@ -28,6 +28,12 @@
 
     if find(dialect.not_run) is not None or is_misdirected(answer):
         return errors.ErrorKind.UPSTREAM_SHED, ''
+    if answer.status in dialect.not_run_statuses:
+        # A caller would conclude what the upstream has not said.
+        return (
+            errors.ErrorKind.ANSWER_CUT,
+            f'Status {answer.status} lacks {dialect.not_run.decode()}.',
+        )
     is_success = answer.status < _FIRST_ERROR_STATUS
     if is_success and find(dialect.signature) is None:
         return errors.ErrorKind.ANSWER_CUT, 'The answer is not signed.'
