--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -90,7 +90,7 @@
         self.run_status = run_status
         # Ids of the requests that were run.
         self.runs: list[bytes] = []
-        # Awaited after each run has begun.
+        # Called when each run begins.
         self.on_run: typing.Callable[[], None] = lambda: None
         self.port = 0
 
