--- a/tests/node/test_cut_heads.py
+++ b/tests/node/test_cut_heads.py
@@ -28,6 +28,11 @@
 _WAIT_S = 10.0
 _RESET = struct.pack('ii', 1, 0)
 
+# More than the buffers of two sockets hold, and how long it is not read.
+_LONG_BODY = b'x' * 16 * 1024 * 1024
+_UNREAD_S = 0.05
+_READ_BYTES = 1024 * 1024
+
 _Pairs = list[tuple[bytes, bytes]]
 
 _ID = (b'attempt-id', b'own')
@@ -560,3 +565,42 @@
 
     with asyncio.Runner(loop_factory=event_loop.new_loop) as runner:
         runner.run(scenario())
+
+
+@pytest.mark.parametrize('part', [0.0, 0.5, 1.0])
+def test_answer_that_ends_before_its_request_is_sent(part: float) -> None:
+    """Guards against an unexpected error instead of an answer or a cut one.
+
+    The upstream ends its side of the connection and reads on, and the rest of
+    a long request is sent only then.
+    """
+    shape = _WITHOUT_LENGTH
+    cut = round(part * len(shape.data))
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(shape.data[:cut])
+            writer.write_eof()
+            await asyncio.sleep(_UNREAD_S)
+            while await reader.read(_READ_BYTES):
+                pass
+        finally:
+            writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        host, port = server.sockets[0].getsockname()
+        client = upstream_client.UpstreamClient(
+            host, port, 4, _MAX_ANSWER_BYTES, _FRAMING
+        )
+        answer = client.send(
+            'POST', '/', b'', _LONG_BODY, clock.now() + _WAIT_S, b'a', b'own'
+        )
+        await _check_cut(answer, shape, cut, _Closing.CLEAN)
+        assert not client.busy and not client.idle
+        server.close()
+
+    asyncio.run(scenario())
