Return answers that end before their request was sent

What callers saw: status 500 with the kind internal, also for a whole answer without a length, and no second try at another upstream for a cut answer to an idempotent request.

Cause: if the upstream ends its side while a long request is being sent, asyncio closes the transport only after its last bytes, and leaves no mark that the connection is lost (Python 3.11). The abort() that follows each answer then raises AttributeError, from UpstreamClient.send.

Evidence: test_answer_that_ends_before_its_request_is_sent failed in 3 of 3 cases (nothing, half of an answer, a whole one) with "'NoneType' object has no attribute 'call_soon'". The client of the load tool has the same fault: test_end_before_the_request_is_sent failed alike.

Change: a connection drops its transport when it is lost, so that nothing is left to abort. close() and is_open() already allow for that.

--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -164,6 +164,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
+        # A transport that sent its last bytes after it had received the end
+        # of the stream cannot be aborted any more.
+        self.transport = None
         if exc is None and self._is_close_delimited():
             self.is_reusable = False
             self._finish()
--- a/loadtool/http_client.py
+++ b/loadtool/http_client.py
@@ -75,6 +75,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
+        # A transport that sent its last bytes after it had received the end
+        # of the stream cannot be aborted any more.
+        self.transport = None
         self._fail('cut' if self.has_response_bytes else 'closed')
 
     def data_received(self, data: bytes) -> None:
