Vary the sync times of simulated disks, and aim at the newest entries

Change: a disk is fast or slow (up to 1 or 20 ms a sync), one loss of power spares the unsynced writes of all disks or of none, and the disks to wipe are those that have the newest durable entries, in seven of ten runs.

--- a/tests/consensus/disks.py
+++ b/tests/consensus/disks.py
@@ -26,8 +26,8 @@
 
 import pytest
 
-# Longest duration of a sync, seconds.
-_MAX_SYNC_S = 0.003
+# Longest duration of a sync of a fast and of a slow disk, seconds.
+_MAX_SYNC_S = (0.001, 0.02)
 
 _Names = dict[str, int]
 Image = dict[str, bytes]
@@ -45,6 +45,8 @@
         self.links_folder = links_folder
         # Folders whose syncs fail.
         self.faulty_folders: set[pathlib.Path] = set()
+        # Longest duration of a sync of each folder, seconds.
+        self._max_sync_s: dict[pathlib.Path, float] = {}
         # Inodes of the durable names of each folder.
         self._names: dict[pathlib.Path, _Names] = {}
         # Content at the last sync, by inode. The descriptor keeps the inode
@@ -65,13 +67,17 @@
 
     def sync(self, descriptor: int) -> None:
         """Record the content of a file, or the names in a folder."""
-        time.sleep(self.random.uniform(0, _MAX_SYNC_S))
         path = pathlib.Path(os.readlink(f'/proc/self/fd/{descriptor}'))
         status = os.fstat(descriptor)
+        folder = path if stat.S_ISDIR(status.st_mode) else path.parent
+        max_sync_s = self._max_sync_s.setdefault(
+            folder, self.random.choice(_MAX_SYNC_S)
+        )
+        time.sleep(self.random.uniform(0, max_sync_s))
         with self._lock:
-            if not self.faulty_folders.isdisjoint((path, path.parent)):
+            if folder in self.faulty_folders:
                 raise OSError(errno.EIO, 'The simulated disk failed')
-            if stat.S_ISDIR(status.st_mode):
+            if path == folder:
                 self._sync_names(path)
                 return
             content = _read(descriptor)
@@ -107,17 +113,11 @@
             shutil.rmtree(self.links_folder / folder.name, ignore_errors=True)
             self._forget_removed_files()
 
-    def image(
-        self, folder: pathlib.Path, keeps_later: bool | None = None
-    ) -> Image:
+    def image(self, folder: pathlib.Path, keeps_later: bool) -> Image:
         """Return what the folder contains if the power fails now.
 
-        In some losses of power nothing since the last sync survives.
-        keeps_later tells whether something may survive in this one; with
-        None this is random.
+        keeps_later tells whether a part of what was not synced may survive.
         """
-        if keeps_later is None:
-            keeps_later = self.random.random() < 0.7
         with self._lock:
             while True:
                 # A thread may rename or remove a file meanwhile.
--- a/tests/consensus/test_power_loss.py
+++ b/tests/consensus/test_power_loss.py
@@ -34,6 +34,12 @@
 # Latest kill of a process after the first command was sent, seconds.
 _MAX_KILL_DELAY_S = 0.02
 
+# Share of the runs that wipe the disks which have the newest entries.
+_AIMED_SHARE = 0.7
+
+# Share of the losses of power in which unsynced writes may survive.
+_KEEPS_LATER_SHARE = 0.5
+
 # Number of entries between two snapshots; a run has a few snapshots.
 _SNAPSHOT_ENTRIES = 16
 _MAX_FIRST_COMMANDS = 50
@@ -184,27 +190,28 @@
         await self.fleet.wait_for_voters(*self.fleet.others(slot))
 
     def _choose_disks(self) -> list[messages.SlotId]:
-        """Return the disks to wipe: mostly those with the last entry."""
+        """Return the slots whose disks are wiped."""
         slots = [slot for slot in self.fleet.members if slot not in self.lost]
         self.random.shuffle(slots)
-        if self.random.random() < 0.7:
-            slots.sort(
-                key=lambda s: -self.fleet.members[s].replica.log.last_index
-            )
-            slots.sort(
-                key=lambda s: not self.fleet.members[s].replica.is_leader
-            )
+        if self.random.random() < _AIMED_SHARE:
+            slots.sort(key=self._durable_index, reverse=True)
         count = _TOLERATED_LOSSES - len(self.lost)
         return [*self.lost, *slots[:count]]
 
+    def _durable_index(self, slot: messages.SlotId) -> tuple[int, bool]:
+        replica = self.fleet.members[slot].replica
+        return replica.log.durable_index, replica.is_leader
+
     def _lose_power(
         self, *slots: messages.SlotId
     ) -> dict[messages.SlotId, disks_module.Image]:
         """Return what the disks of these replicas contain afterwards."""
         if len(slots) == len(self.fleet.members):
             self.is_power_lost = True
+        keeps_later = self.random.random() < _KEEPS_LATER_SHARE
         return {
-            slot: self.disks.image(self.fleet.folder(slot)) for slot in slots
+            slot: self.disks.image(self.fleet.folder(slot), keeps_later)
+            for slot in slots
         }
 
     async def _restart_with(
--- a/tests/consensus/test_unsynced_files.py
+++ b/tests/consensus/test_unsynced_files.py
@@ -125,7 +125,7 @@
                     files.truncate(2)
             files.close()
             disks.faulty_folders.clear()
-            disks.restore(folder, disks.image(folder))
+            disks.restore(folder, disks.image(folder, keeps_later=True))
             storage.LogFiles(folder).open()
             disks.close()
 
