Reproduce an answer that a graceful close resets, failing

A client that reads a large answer slowly, and whose next request crosses the close of a stopping node, gets a part of the answer and a reset.

Cause: the answer was written before the stop, so the connection does not linger. is_finished() takes it for idle although bytes are unsent, and it is closed with the crossing request unread.

--- /dev/null
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -0,0 +1,56 @@
+"""Connections that a listener closes while answers are on their way."""
+
+import asyncio
+import contextlib
+
+from godwitstall import http_listener
+from tests.listener import connections
+
+_TIMEOUT_S = 10.0
+_GET_1 = b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n'
+_GET_2 = b'GET /2 HTTP/1.1\r\nhost: a\r\n\r\n'
+
+# More than the socket buffers of both sides hold.
+_LARGE_BODY = b'x' * 20_000_000
+
+
+async def _read_to_the_end(reader: asyncio.StreamReader) -> bytes:
+    """Read until the peer closes or resets the connection."""
+    received = b''
+    with contextlib.suppress(ConnectionResetError):
+        while chunk := await reader.read(65536):
+            received += chunk
+    return received
+
+
+def test_answer_of_a_kept_connection_is_whole_after_a_graceful_close() -> None:
+    """Guards against a reset that destroys a response on its way.
+
+    The response was written before the stop, so that it did not announce a
+    close, and the next request of the client crosses the close.
+    """
+
+    async def scenario() -> None:
+        async def serve(
+            request: http_listener.Request,
+        ) -> http_listener.Response:
+            return http_listener.Response(200, [], _LARGE_BODY)
+
+        async with connections.listening(serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(_GET_1)
+            async with asyncio.timeout(_TIMEOUT_S):
+                response = await reader.readuntil(b'\r\n\r\n')
+                close = asyncio.create_task(
+                    listener.close_gracefully(_TIMEOUT_S)
+                )
+                # The listener stops listening, and then closes connections.
+                await asyncio.sleep(0.2)
+                writer.write(_GET_2)
+                response += await _read_to_the_end(reader)
+            writer.close()
+            await close
+        _, _, body = response.partition(b'\r\n\r\n')
+        assert len(body) >= len(_LARGE_BODY)
+
+    asyncio.run(scenario())
