Reproduce a pipelining client that a stop never reaches, failing

A client that sends its next request before the last one is answered keeps its connection to a stopping node until the end of the stop, and so keeps the node from ending early.

Cause: since requests behind a closing answer are not cut any more, a stopping listener announces the close only with an answer behind which nothing is pending, and it goes on reading meanwhile.

--- a/tests/listener/test_close_with_unread_answers.py
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -54,3 +54,44 @@
         assert len(body) >= len(_LARGE_BODY)
 
     asyncio.run(scenario())
+
+
+def test_pipelining_client_hears_of_a_planned_stop() -> None:
+    """Guards against a connection that a stopping listener keeps.
+
+    The client sends each request while the one before it is running, so that
+    the listener never sees the connection without a pending request.
+    """
+
+    async def scenario() -> None:
+        arrivals: asyncio.Queue[asyncio.Event] = asyncio.Queue()
+
+        async def serve(
+            request: http_listener.Request,
+        ) -> http_listener.Response:
+            is_released = asyncio.Event()
+            arrivals.put_nowait(is_released)
+            await is_released.wait()
+            return http_listener.Response(200)
+
+        async with connections.listening(serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(_GET_1)
+            oldest = await arrivals.get()
+            listener.is_stopping = True
+            responses: list[bytes] = []
+            async with asyncio.timeout(_TIMEOUT_S):
+                for _ in range(20):
+                    writer.write(_GET_2)
+                    # The listener need not read the request.
+                    newest = asyncio.create_task(arrivals.get())
+                    await asyncio.wait({newest}, timeout=0.2)
+                    oldest.set()
+                    responses.append(await reader.readuntil(b'\r\n\r\n'))
+                    if b'connection: close' in responses[-1]:
+                        break
+                    oldest = await newest
+            writer.close()
+        assert b'connection: close' in responses[-1]
+
+    asyncio.run(scenario())
