Reproduce a stop that lasts longer than its grace, failing

A node accepts requests in its planned stop whose deadlines are after SIGKILL.

Cause: Node.stop() of node/program.py adds the time of the stop after the settle time; GatewayNode.stop() counts from the signal.

--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -1,11 +1,13 @@
 """R9: a planned stop of a node interrupts no request."""
 
 import asyncio
+import math
 import pathlib
 import typing
 
 import pytest
 
+from godwitstall import clock
 from godwitstall import link as link_module
 from godwitstall import messages
 from loadtool import http_client
@@ -210,6 +212,34 @@
     asyncio.run(run())
 
 
+def test_stop_ends_before_the_process_is_killed(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a request that is accepted and then killed.
+
+    stop_grace_s counts from the signal, and the settle time is part of it.
+    """
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path,
+            _NOTE,
+            {'siop-1': 'siop'},
+            stop_grace_s=10.0,
+            stop_settle_s=2.0,
+        ) as (_, [node]):
+            killed_at = clock.now() + 10.0
+            stop = asyncio.create_task(node.node.stop())
+            await fakes.until(
+                lambda: not math.isinf(node.node.owner.planned_stop.end),
+                'settle time over',
+            )
+            assert node.node.owner.planned_stop.end < killed_at
+            await stop
+
+    asyncio.run(run())
+
+
 def test_stop_that_another_node_does_not_hear_of(
     tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
