Reproduce refused onward calls of accepted requests, failing

A request that was accepted before the settle time ended fails (500 of its upstream) although it would have ended in time, because its node refuses its onward calls.

Cause: PlannedStop.check() looks at the deadline of an onward call as at that of a new request. The onward call inherits the deadline of its parent, which may be after the end of the stop, since the parent came before the check.

--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -259,6 +259,21 @@
     _run(check)
 
 
+def test_onward_call_of_an_accepted_request_is_served() -> None:
+    """Guards against requests that fail for a refused onward call.
+
+    The parent was accepted when the stop had begun, with a deadline after the
+    end of the stop; the time left for the onward call is the parent's.
+    """
+
+    async def check(stopping: _Stopping) -> None:
+        # The id is that of the running request with a suffix.
+        head, body = await stopping.send_late('/long/first.1', 0.0)
+        assert (head[9:12], body) == (b'200', b'done')
+
+    _run(check)
+
+
 def test_late_call_of_another_node_is_refused_and_not_cut() -> None:
     """Guards against a call that the end of the owner's stop cuts.
 
