Read no more requests once a stopping listener has answered

What callers saw: a client that sends its next request before the last one is answered is never told that the node stops; it keeps its connection until the end of the stop, and the node, never idle, does not end before.

Cause: a stopping listener announces the close only with an answer behind which nothing is pending, and it reads on meanwhile.

Change: from the first answer that is written in a stop, no more requests are read from that connection. Those that have been read are answered, the last answer announces the close, and the client sends again what is behind it.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -356,6 +356,10 @@
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
         was_full = len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
+        if self.listener.is_stopping:
+            # Otherwise a client that always has a request pending would keep
+            # the connection.
+            self.is_closing = True
         while self.exchanges:
             exchange = self.exchanges[0]
             if exchange.response is None:
@@ -364,9 +368,7 @@
             # For the client, requests after a closing response were not
             # processed (RFC 9112, section 9.6), so all requests that have been
             # read are answered before the connection is closed.
-            is_last = not self.exchanges and (
-                self.is_closing or self.listener.is_stopping
-            )
+            is_last = not self.exchanges and self.is_closing
             self.transport.write(
                 _encode_response(exchange.response, exchange.is_head, is_last)
             )
