Let kept connections linger in a graceful close

What callers saw: a client that reads a large answer slowly, and whose next request crosses the close of a stopping node, got a part of the answer and a reset.

Cause: only connections with a closing answer are read to their end. A kept connection whose answer was written before the stop counts as idle, although bytes may be unsent or on their way, and is closed with bytes unread.

Change: a connection that was active within the linger time is half-closed and read on; one that was idle for longer is closed at once, as before.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -389,11 +389,16 @@
             self.transport.write_eof()
         self._update_reading()
 
-    def is_finished(self) -> bool:
-        """Return whether the connection can be closed without any loss."""
-        if self.is_lingering:
-            return self._has_lingered(clock.recent())
-        return not self.request_started_at and not self.exchanges
+    def close_if_finished(self) -> None:
+        """Close the connection if no request and no response can be lost."""
+        if self.request_started_at or self.exchanges:
+            return
+        if self._has_lingered(clock.recent()):
+            self.is_closing = True
+            self.transport.close()
+        elif not self.is_lingering:
+            # The last response may still be on its way.
+            self._linger()
 
     def _has_lingered(self, now: float) -> bool:
         return (
@@ -516,8 +521,7 @@
             # There is no await between the check and the close, so that no
             # request is read in between.
             for connection in list(self.connections):
-                if connection.is_finished():
-                    connection.transport.close()
+                connection.close_if_finished()
             if not self.connections or clock.recent() >= deadline:
                 break
             await asyncio.sleep(_CLOSE_POLL_INTERVAL_S)
