End a stop with a grace time before the process is killed

What callers could see: requests cut by SIGKILL at the own interface of a node (LOST), although they had been accepted as ending in time.

Cause: program.Node counted its 0.9 of stop_grace_s from the end of the settle time, not from the signal, so the end of the stop was after SIGKILL.

Change: with a grace time the end is taken before the settle time.

--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -97,8 +97,11 @@
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         self.entry.is_stopping = True
-        await self.leave_and_settle()
         deadline = clock.now() + self.options.planned_stop_s()
+        await self.leave_and_settle()
+        if not self.options.stop_grace_s:
+            # Without a SIGKILL, running calls get their whole time.
+            deadline = clock.now() + self.options.planned_stop_s()
         self.owner.planned_stop.set_end(deadline)
         # New calls must not use up the time left for the running requests, so
         # new connections are refused and callers connect to another node.
