Hold the settle time of a stop in tests of late requests

Cause: the tests raced with a settle time of 0.2 s: if the first answer came later, it closed the connection, and the late request got none. They also had to fit into 2 s of grace.

Change: the settle time ends when the test says so, the first request runs until it is released, and the grace time is one that no test waits for. The checks are the same.

--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -10,6 +10,8 @@
 import dataclasses
 import typing
 
+import pytest
+
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import http_listener
@@ -24,28 +26,31 @@
 _TIMEOUT_S = 20.0
 _HOST = 'a.example'
 
-# Times of a planned stop, seconds.
-_GRACE_S = 2.0
-_SETTLE_S = 0.2
+# Grace time of the stop, seconds. No test waits for its end.
+_GRACE_S = 20.0
 
 # Timeouts of the two routes of the configuration, seconds: one that fits into
 # the rest of a planned stop, and one that does not.
-_SHORT_S = 0.4
-_LONG_S = 8.0
+_SHORT_S = 2.0
+_LONG_S = 60.0
+
+# Request that runs until the end of each test.
+_FIRST = '/long/first'
 
 
 class _Upstream:
-    """An upstream that answers each request after a time."""
+    """An upstream that holds the first request until it is released."""
 
     def __init__(self) -> None:
-        self.work_s = 0.0
+        self.is_released = asyncio.Event()
         self.received: list[str] = []
 
     async def serve(
         self, request: http_listener.Request
     ) -> http_listener.Response:
         self.received.append(request.target)
-        await asyncio.sleep(self.work_s)
+        if request.target == _FIRST:
+            await self.is_released.wait()
         return http_listener.Response(
             200,
             [
@@ -66,13 +71,15 @@
     node: gateway_node.GatewayNode
     upstream: _Upstream
     stop: asyncio.Task[None]
+    is_settled: asyncio.Event
 
-    async def send_late(
-        self, target: str, work_s: float
-    ) -> tuple[bytes, bytes]:
-        """Send a request when the settle time is over; return its response.
+    async def end_settle_time(self) -> None:
+        """End the time in which all requests are accepted."""
+        self.is_settled.set()
+        await _until(lambda: self.node.listener.is_stopping)
 
-        work_s is the time that the upstream would take for it.
+    async def send_late(self, target: str) -> tuple[bytes, bytes]:
+        """Send a request when the settle time is over; return its response.
 
         Returns head and body, both empty if the connection is closed without
         a response.
@@ -84,8 +91,7 @@
         writer.write(_encode('/short/early'))
         async with asyncio.timeout(_TIMEOUT_S):
             await _read_response(reader)
-            await _until(lambda: self.node.listener.is_stopping)
-            self.upstream.work_s = work_s
+            await self.end_settle_time()
             writer.write(_encode(target))
             response = await _read_response(reader)
         writer.close()
@@ -93,21 +99,25 @@
 
 
 @contextlib.asynccontextmanager
-async def _stopping_node() -> collections.abc.AsyncIterator[_Stopping]:
+async def _stopping_node(
+    monkeypatch: pytest.MonkeyPatch,
+) -> collections.abc.AsyncIterator[_Stopping]:
     upstream = _Upstream()
     async with connections.listening(upstream.serve) as (_, upstream_address):
         node = _make_node(upstream_address)
         await node.start()
         _publish(node)
+        is_settled = asyncio.Event()
+        monkeypatch.setattr(node, 'leave_and_settle', is_settled.wait)
         stop = asyncio.create_task(node.stop())
         # A request in progress keeps the node from stopping early.
-        upstream.work_s = _GRACE_S / 2
         reader, writer = await connections.connect(node.options.caller_address)
-        writer.write(_encode('/long/first'))
+        writer.write(_encode(_FIRST))
         await _until(lambda: bool(upstream.received))
-        upstream.work_s = 0.0
         try:
-            yield _Stopping(node, upstream, stop)
+            yield _Stopping(node, upstream, stop, is_settled)
+            is_settled.set()
+            upstream.is_released.set()
             await stop
             head, body = await _read_response(reader)
             assert (head[9:12], body) == (b'200', b'done')
@@ -124,7 +134,6 @@
         caller_address=addresses.free_address(),
         upstream_address=upstream_address,
         stop_grace_s=_GRACE_S,
-        stop_settle_s=_SETTLE_S,
         limit_policy=settings.LimitPolicy.FIXED,
         warmup_s=0.0,
     )
@@ -213,42 +222,49 @@
     check: collections.abc.Callable[
         [_Stopping], collections.abc.Coroutine[typing.Any, typing.Any, None]
     ],
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        async with _stopping_node() as stopping:
+        async with _stopping_node(monkeypatch) as stopping:
             await check(stopping)
 
     asyncio.run(scenario())
 
 
-def test_request_that_can_outlast_a_stop_is_refused_and_not_cut() -> None:
+def test_request_that_can_outlast_a_stop_is_refused_and_not_cut(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a request that the end of a planned stop cuts.
 
     It came late in the grace time, and its timeout ends after the grace time.
     """
 
     async def check(stopping: _Stopping) -> None:
-        head, _ = await stopping.send_late('/long/late', _LONG_S / 2)
+        head, _ = await stopping.send_late('/long/late')
         assert head[9:12] == b'503'
         assert b'retry-after: ' in head
         assert b'connection: close' in head
         assert 'long/late' not in str(stopping.upstream.received)
 
-    _run(check)
+    _run(check, monkeypatch)
 
 
-def test_request_that_ends_in_the_grace_time_is_served() -> None:
+def test_request_that_ends_in_the_grace_time_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a stopping node that refuses what it can finish."""
 
     async def check(stopping: _Stopping) -> None:
-        head, body = await stopping.send_late('/short/late', 0.0)
+        head, body = await stopping.send_late('/short/late')
         assert (head[9:12], body) == (b'200', b'done')
         assert b'connection: close' in head
 
-    _run(check)
+    _run(check, monkeypatch)
 
 
-def test_request_before_the_stop_is_known_is_served() -> None:
+def test_request_before_the_stop_is_known_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against refusals of clients that cannot know of the stop."""
 
     async def check(stopping: _Stopping) -> None:
@@ -256,10 +272,12 @@
         # checked at the end of the scenario.
         assert stopping.upstream.received[0] == '/long/first'
 
-    _run(check)
+    _run(check, monkeypatch)
 
 
-def test_onward_call_of_an_accepted_request_is_served() -> None:
+def test_onward_call_of_an_accepted_request_is_served(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against requests that fail for a refused onward call.
 
     The parent was accepted when the stop had begun, with a deadline after the
@@ -268,13 +286,15 @@
 
     async def check(stopping: _Stopping) -> None:
         # The id is that of the running request with a suffix.
-        head, body = await stopping.send_late('/long/first.1', 0.0)
+        head, body = await stopping.send_late('/long/first.1')
         assert (head[9:12], body) == (b'200', b'done')
 
-    _run(check)
+    _run(check, monkeypatch)
 
 
-def test_late_call_of_another_node_is_refused_and_not_cut() -> None:
+def test_late_call_of_another_node_is_refused_and_not_cut(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a call that the end of the owner's stop cuts.
 
     The entry node has not heard of the stop. It can send the call to another
@@ -282,14 +302,14 @@
     """
 
     async def check(stopping: _Stopping) -> None:
-        await _until(lambda: stopping.node.listener.is_stopping)
+        await stopping.end_settle_time()
         answer = await stopping.node.owner.handle(_make_call(_LONG_S))
         assert answer.kind is errors.ErrorKind.STOPPING
         assert answer.outcome is errors.Outcome.NOT_RUN
         answer = await stopping.node.owner.handle(_make_call(_SHORT_S))
         assert answer.kind is errors.ErrorKind.NONE
 
-    _run(check)
+    _run(check, monkeypatch)
 
 
 def _make_call(deadline_s: float) -> messages.Call:
