--- a/review/harness.py
+++ b/review/harness.py
@@ -59,6 +59,16 @@
         print(line, flush=True)
 
 
+class Silent(Record):
+    """A record that is not written."""
+
+    def __init__(self) -> None:
+        self.started_at = time.monotonic()
+
+    def write(self, text: str) -> None:
+        """Drop the line."""
+
+
 class Program:
     """One program of the project, started by a command of the deploy file."""
 
