--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,7 +30,7 @@
     """Run the case."""
     only = os.environ.get('ONLY', '')
     restarts = has_trouble and only != 'late'
-    is_late = has_trouble and only != 'restart'
+    is_late = has_trouble and only not in ('restart', 'beats')
     control = harness.Control(folder, programs)
     control.start_all()
     nodes = [
@@ -64,7 +64,8 @@
         return 2
 
     # The check-in that arrives late: sent while the backend is ready.
-    leaving.stop_beats()
+    if only != 'beats':
+        leaving.stop_beats()
     late_beat = leaving.next_beat()
     if restarts:
         node.program.send_signal(signal.SIGTERM)
@@ -74,8 +75,8 @@
     status = await leaving.deregister()
     acknowledged_at = time.monotonic()
     record.write(
-        f'{leaving.instance_id} deregisters at {node.name}: {status}; it '
-        'serves on and sends no more check-ins'
+        f'{leaving.instance_id} deregisters at {node.name}: {status}; '
+        'it serves on'
     )
     if status != 200:
         return 2
