Report whether control has recorded the drain of an upstream

Change: lines drain_recorded and drain_unrecorded of the part membership, and the counter upstream_drains_total by result. The second line is written at the end of a process whose upstream drained without a record.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -170,6 +170,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.membership.report_unrecorded_drain()
         _LOG.info('Node %s stopped.', self.options.node_id)
 
     def dump_components(self) -> dict[str, typing.Any]:
--- a/godwitstall/node/membership.py
+++ b/godwitstall/node/membership.py
@@ -8,15 +8,21 @@
 import asyncio
 
 from godwitstall import clock
+from godwitstall import decisions
 from godwitstall import errors
 from godwitstall import logs
 from godwitstall import messages
+from godwitstall import metrics
 from godwitstall.node import control_session
 from godwitstall.node import upstream as upstream_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
 _LOG = logs.get('membership')
+_DRAINS = metrics.counter(
+    'upstream_drains_total',
+    'Upstream processes that drained, by whether control recorded it.',
+)
 
 # Timeout of one membership command, seconds.
 _COMMAND_TIMEOUT_S = 5.0
@@ -43,6 +49,9 @@
         self.is_leaving = False
         # Whether control accepted a Join of this process.
         self.has_joined = False
+        # Incarnation of the last upstream process whose drain control has
+        # recorded, so that it survives the end of this process.
+        self.recorded_drain = 0
 
     def on_upstream_change(self) -> None:
         """Wake run() after a change of the upstream's state or slots."""
@@ -97,6 +106,7 @@
     ) -> None:
         if result.is_accepted:
             self.has_joined |= isinstance(command, messages.Join)
+            self._note_recorded_drain(command)
             return
         _LOG.warning(
             'Control refused the membership command: %s', result.detail
@@ -108,6 +118,43 @@
             self.session.raise_incarnation()
             self.changed.set()
 
+    def _note_recorded_drain(self, command: messages.Message) -> None:
+        match command:
+            case messages.Join():
+                state = command.member.state
+                incarnation = command.member.upstream_incarnation
+            case messages.SetUpstreamState():
+                state = command.state
+                incarnation = command.upstream_incarnation
+            case _:
+                return
+        if (
+            state is messages.UpstreamState.DRAINING
+            and incarnation != self.recorded_drain
+        ):
+            self.recorded_drain = incarnation
+            self._write_drain('recorded', incarnation)
+
+    def is_drain_unrecorded(self) -> bool:
+        """Return whether control does not know that the upstream drained."""
+        return (
+            self.upstream is not None
+            and self.upstream.has_drained
+            and self.upstream.incarnation != self.recorded_drain
+        )
+
+    def report_unrecorded_drain(self) -> None:
+        """Report a drain that is lost with the end of this process."""
+        if self.is_drain_unrecorded():
+            assert self.upstream is not None
+            self._write_drain('unrecorded', self.upstream.incarnation)
+
+    def _write_drain(self, result: str, incarnation: int) -> None:
+        _DRAINS.inc(result=result)
+        decisions.write(
+            'membership', f'drain_{result}', upstream_incarnation=incarnation
+        )
+
     def _next_command(self) -> messages.Message | None:
         desired = self.desired_member()
         if desired is None:
