Acknowledge the drain of an upstream only once control has recorded it

An upstream deregisters at a node that has got SIGTERM, and gets a 200.

Cause: a node acknowledged a drain that only its own memory held. Control learned of it in a later turn of Membership.run(), which proposed nothing while the node was leaving, and control refused drains from nodes that had left. The same happens if the node is killed before that turn, if control has no leader, if a stall hides the drain, or if the node does not know the instance.

Change: a drain (deregistration, draining heartbeat, draining announcement at the product's own interface) is acknowledged when control has recorded it, otherwise answered 503 after 0.8 s of the second that upstreams wait. Leaving nodes go on recording drains, also those named only in answers. Control records a drain from each process of a node, since it concerns the upstream process and is final, and remembers every drained process of a node.

--- a/godwitstall/members/registry.py
+++ b/godwitstall/members/registry.py
@@ -6,15 +6,17 @@
 
 An upstream process that has drained never receives work again. A node that is
 killed and restarted meanwhile would take a late announcement of that process
-for a new upstream, so the registry remembers the last one that drained.
+for a new upstream, so the registry remembers the processes that drained. A
+drain is therefore recorded from every process of the node, also from one that
+has left or was replaced.
 """
 
 import dataclasses
 
 from godwitstall import messages
 
-# Largest number of nodes remembered after they were removed or drained; covers
-# a month of 120 restarts and replacements a day.
+# Largest number of removed nodes, and of drained upstream processes, that are
+# remembered; covers a month of 120 restarts and replacements a day.
 MAX_REMEMBERED_NODES = 4096
 # Largest number of nodes drained by operators at a time, members or not.
 MAX_DRAINED_NODES = 4096
@@ -41,9 +43,9 @@
         # Lowest incarnation that may join, by id of a removed node, least
         # recently removed first.
         self.min_incarnations: dict[messages.NodeId, int] = {}
-        # Incarnation of the last upstream process that drained, by node id,
-        # least recently drained first.
-        self.drained_upstreams: dict[messages.NodeId, int] = {}
+        # Node ids and incarnations of the upstream processes that drained,
+        # least recently drained first; the values are unused.
+        self.drained_upstreams: dict[tuple[messages.NodeId, int], None] = {}
 
     def is_member(self, node_id: messages.NodeId, incarnation: int) -> bool:
         """Return whether this process of the node is a member."""
@@ -116,6 +118,11 @@
     ) -> tuple[messages.CommandResult, list[messages.NodeId]]:
         member = self.members.get(command.node_id)
         if member is None or member.incarnation != command.incarnation:
+            if (
+                command.state is messages.UpstreamState.DRAINING
+                and command.upstream_incarnation
+            ):
+                return self._drain_upstream_of_successor(command)
             return _rejected(
                 f'Incarnation {command.incarnation} of {command.node_id!r} '
                 f'is not a member.'
@@ -129,6 +136,20 @@
             )
         )
 
+    def _drain_upstream_of_successor(
+        self, command: messages.SetUpstreamState
+    ) -> tuple[messages.CommandResult, list[messages.NodeId]]:
+        """Record a drain that comes from a node process that is no member.
+
+        It binds the member if that has the same upstream process, and every
+        later process of the node.
+        """
+        self._remember_drain(command.node_id, command.upstream_incarnation)
+        member = self.members.get(command.node_id)
+        if member is None:
+            return messages.CommandResult(is_accepted=True), []
+        return self._put_member(member)
+
     def _leave(
         self, command: messages.Leave
     ) -> tuple[messages.CommandResult, list[messages.NodeId]]:
@@ -203,23 +224,29 @@
         process to DRAINING.
         """
         upstream_incarnation = member.upstream_incarnation
-        if not upstream_incarnation:
-            return member
         if member.state is messages.UpstreamState.DRAINING:
-            self.drained_upstreams.pop(member.node_id, None)
-            self.drained_upstreams[member.node_id] = upstream_incarnation
-            if len(self.drained_upstreams) > MAX_REMEMBERED_NODES:
-                del self.drained_upstreams[next(iter(self.drained_upstreams))]
+            self._remember_drain(member.node_id, upstream_incarnation)
         elif (
             member.state is messages.UpstreamState.READY
-            and self.drained_upstreams.get(member.node_id)
-            == upstream_incarnation
+            and (member.node_id, upstream_incarnation)
+            in self.drained_upstreams
         ):
             return dataclasses.replace(
                 member, state=messages.UpstreamState.DRAINING
             )
         return member
 
+    def _remember_drain(
+        self, node_id: messages.NodeId, upstream_incarnation: int
+    ) -> None:
+        if not upstream_incarnation:
+            return
+        key = (node_id, upstream_incarnation)
+        self.drained_upstreams.pop(key, None)
+        self.drained_upstreams[key] = None
+        if len(self.drained_upstreams) > MAX_REMEMBERED_NODES:
+            del self.drained_upstreams[next(iter(self.drained_upstreams))]
+
     def _raise_min_incarnation(
         self, node_id: messages.NodeId, min_incarnation: int
     ) -> bool:
@@ -243,7 +270,7 @@
             ],
             departed=[
                 messages.NodeBeat(node_id=node_id, incarnation=incarnation)
-                for node_id, incarnation in self.drained_upstreams.items()
+                for node_id, incarnation in self.drained_upstreams
             ],
         )
 
@@ -256,9 +283,9 @@
         self.min_incarnations = {
             b.node_id: b.incarnation for b in snapshot.gone
         }
-        self.drained_upstreams = {
-            b.node_id: b.incarnation for b in snapshot.departed
-        }
+        self.drained_upstreams = dict.fromkeys(
+            (b.node_id, b.incarnation) for b in snapshot.departed
+        )
 
 
 def _rejected(
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -27,6 +27,7 @@
 from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
+from godwitstall.node import membership as membership_module
 from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
 from godwitstall.node import upstream as upstream_module
@@ -127,6 +128,7 @@
         session: control_session.ControlSession,
         allowance: allowance_module.Allowance,
         contexts: context.Contexts,
+        membership: membership_module.Membership,
         upstream: upstream_module.Upstream,
         sender: relay.Relay,
         planned_stop: planned_stop_module.PlannedStop,
@@ -136,6 +138,7 @@
         self.session = session
         self.allowance = allowance
         self.contexts = contexts
+        self.membership = membership
         self.upstream = upstream
         self.sender = sender
         self.planned_stop = planned_stop
@@ -235,6 +238,8 @@
             raise errors.RequestError(errors.ErrorKind.NO_ROUTE)
         announcement = announcements.parse(request.body, self.options.service)
         self.upstream.on_announcement(announcement, clock.now())
+        if announcement.state == 'draining':
+            await self.membership.wait_until_drain_is_recorded()
         return messages.Answer(outcome=errors.Outcome.RUN, status=204)
 
     async def _admit_caller(self, request: Request) -> messages.Answer:
--- a/godwitstall/node/membership.py
+++ b/godwitstall/node/membership.py
@@ -2,10 +2,12 @@
 
 The node joins after the first announcement of its upstream, sends changes of
 the upstream's state, joins again if control removed the node by mistake, and
-leaves at a planned stop.
+leaves at a planned stop. A drain of the upstream is recorded also after that,
+because it binds the later processes of the node.
 """
 
 import asyncio
+import dataclasses
 
 from godwitstall import clock
 from godwitstall import decisions
@@ -30,6 +32,10 @@
 # Interval at which the recorded entry is checked, seconds.
 _CHECK_INTERVAL_S = 0.25
 
+# Time to record a drain before it is acknowledged, seconds. Upstreams wait
+# one second for the acknowledgement.
+_RECORD_TIMEOUT_S = 0.8
+
 
 class Membership:
     """Updates the node's own entry in the member list."""
@@ -52,6 +58,8 @@
         # Incarnation of the last upstream process whose drain control has
         # recorded, so that it survives the end of this process.
         self.recorded_drain = 0
+        # Set when recorded_drain changes.
+        self.drain_recorded = asyncio.Event()
 
     def on_upstream_change(self) -> None:
         """Wake run() after a change of the upstream's state or slots."""
@@ -86,7 +94,7 @@
             except TimeoutError:
                 pass
             self.changed.clear()
-            if self.is_leaving or not self.session.connected.is_set():
+            if not self.session.connected.is_set():
                 continue
             command = self._next_command()
             if command is None:
@@ -106,7 +114,7 @@
     ) -> None:
         if result.is_accepted:
             self.has_joined |= isinstance(command, messages.Join)
-            self._note_recorded_drain(command)
+            self._note_drain_in(command)
             return
         _LOG.warning(
             'Control refused the membership command: %s', result.detail
@@ -118,7 +126,8 @@
             self.session.raise_incarnation()
             self.changed.set()
 
-    def _note_recorded_drain(self, command: messages.Message) -> None:
+    def _note_drain_in(self, command: messages.Message) -> None:
+        """Note the drain that an accepted command has recorded, if any."""
         match command:
             case messages.Join():
                 state = command.member.state
@@ -128,12 +137,35 @@
                 incarnation = command.upstream_incarnation
             case _:
                 return
-        if (
-            state is messages.UpstreamState.DRAINING
-            and incarnation != self.recorded_drain
-        ):
-            self.recorded_drain = incarnation
-            self._write_drain('recorded', incarnation)
+        if state is messages.UpstreamState.DRAINING:
+            self._note_recorded_drain(incarnation)
+
+    def _note_recorded_drain(self, incarnation: int) -> None:
+        if incarnation == self.recorded_drain:
+            return
+        self.recorded_drain = incarnation
+        self.drain_recorded.set()
+        self._write_drain('recorded', incarnation)
+
+    async def wait_until_drain_is_recorded(self) -> None:
+        """Wait until control knows that the current upstream has drained.
+
+        A drain may be acknowledged only then, because this process can end
+        right after the acknowledgement. Errors: RequestError of kind
+        CONTROL_LOST if control does not record it in time.
+        """
+        assert self.upstream is not None
+        incarnation = self.upstream.incarnation
+        try:
+            async with asyncio.timeout(_RECORD_TIMEOUT_S):
+                while self.recorded_drain != incarnation:
+                    self.drain_recorded.clear()
+                    await self.drain_recorded.wait()
+        except TimeoutError as e:
+            raise errors.RequestError(
+                errors.ErrorKind.CONTROL_LOST,
+                'Control has not recorded yet that the upstream drained.',
+            ) from e
 
     def is_drain_unrecorded(self) -> bool:
         """Return whether control does not know that the upstream drained."""
@@ -159,20 +191,29 @@
         desired = self.desired_member()
         if desired is None:
             return None
+        if self.is_leaving:
+            return self._next_drain()
         recorded = self.view.members.get(self.options.node_id)
         if recorded is not None and self._adopt_drain(recorded):
             desired = self.desired_member()
             assert desired is not None
         if recorded is None or recorded.incarnation != desired.incarnation:
             return messages.Join(desired)
+        # A stall or a lost upstream would hide the drain.
+        drain = self._next_drain()
+        if drain is not None:
+            return drain
         if has_same_upstream(recorded, desired):
             return None
-        return messages.SetUpstreamState(
-            desired.node_id,
-            desired.incarnation,
-            desired.state,
-            desired.slots,
-            desired.upstream_incarnation,
+        return _set_upstream_state(desired)
+
+    def _next_drain(self) -> messages.SetUpstreamState | None:
+        """Return the command for a drain that control does not know."""
+        desired = self.desired_member()
+        if desired is None or not self.is_drain_unrecorded():
+            return None
+        return _set_upstream_state(
+            dataclasses.replace(desired, state=messages.UpstreamState.DRAINING)
         )
 
     def _adopt_drain(self, recorded: messages.Member) -> bool:
@@ -189,6 +230,7 @@
         ):
             return False
         _LOG.info('The upstream process drained before this node started.')
+        self._note_recorded_drain(recorded.upstream_incarnation)
         self.upstream.set_state(messages.UpstreamState.DRAINING)
         return True
 
@@ -211,6 +253,16 @@
         )
 
 
+def _set_upstream_state(member: messages.Member) -> messages.SetUpstreamState:
+    return messages.SetUpstreamState(
+        member.node_id,
+        member.incarnation,
+        member.state,
+        member.slots,
+        member.upstream_incarnation,
+    )
+
+
 def has_same_upstream(
     recorded: messages.Member, desired: messages.Member
 ) -> bool:
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -59,6 +59,7 @@
             self.session,
             self.allowance,
             self.contexts,
+            self.membership,
             self.upstream,
             self.relay,
             self.owner.planned_stop,
--- a/tests/members/test_departed.py
+++ b/tests/members/test_departed.py
@@ -68,6 +68,75 @@
     assert restored.members[_NODE].state is _State.DRAINING
 
 
+def test_drain_after_the_node_has_left_is_kept() -> None:
+    """Guards against the loss of a drain that a stopping node records."""
+    node_registry = registry.Registry()
+    node_registry.apply(messages.Join(_member(1, 500)))
+    node_registry.apply(messages.Leave(_NODE, 1))
+    result, changed = node_registry.apply(
+        messages.SetUpstreamState(_NODE, 1, _State.DRAINING, 0, 500)
+    )
+    assert result.is_accepted
+    assert not changed
+    node_registry.apply(messages.Join(_member(2, 500)))
+    assert node_registry.members[_NODE].state is _State.DRAINING
+
+
+def test_drain_from_the_node_process_before_is_kept() -> None:
+    """Guards against the loss of a drain while the node starts again.
+
+    The next process of the node has already announced the upstream as ready.
+    """
+    node_registry = registry.Registry()
+    node_registry.apply(messages.Join(_member(2, 500)))
+    result, changed = node_registry.apply(
+        messages.SetUpstreamState(_NODE, 1, _State.DRAINING, 9, 500)
+    )
+    assert result.is_accepted
+    assert changed == [_NODE]
+    member = node_registry.members[_NODE]
+    assert (member.incarnation, member.state) == (2, _State.DRAINING)
+
+
+def test_late_drain_does_not_affect_the_next_upstream() -> None:
+    """Guards against a late command that drains the successor."""
+    node_registry = registry.Registry()
+    node_registry.apply(messages.Join(_member(2, 501)))
+    _, changed = node_registry.apply(
+        messages.SetUpstreamState(_NODE, 1, _State.DRAINING, 9, 500)
+    )
+    assert not changed
+    assert node_registry.members[_NODE].state is _State.READY
+
+
+def test_state_of_a_node_process_before_is_still_refused() -> None:
+    """Guards against a late command that makes an upstream ready."""
+    node_registry = registry.Registry()
+    node_registry.apply(messages.Join(_member(2, 500, _State.DOWN)))
+    result, _ = node_registry.apply(
+        messages.SetUpstreamState(_NODE, 1, _State.READY, 9, 500)
+    )
+    assert not result.is_accepted
+    assert node_registry.members[_NODE].state is _State.DOWN
+
+
+@pytest.mark.parametrize('is_restored', [False, True])
+def test_each_drained_upstream_of_a_node_is_kept(is_restored: bool) -> None:
+    """Guards against a drain that is forgotten with the next one."""
+    node_registry = _registry_after_drain()
+    node_registry.apply(messages.Join(_member(1, 501)))
+    node_registry.apply(
+        messages.SetUpstreamState(_NODE, 1, _State.DRAINING, 0, 501)
+    )
+    if is_restored:
+        snapshot = node_registry.to_snapshot()
+        node_registry = registry.Registry()
+        node_registry.restore(snapshot)
+    for upstream_incarnation in 500, 501:
+        node_registry.apply(messages.Join(_member(2, upstream_incarnation)))
+        assert node_registry.members[_NODE].state is _State.DRAINING
+
+
 def test_memory_of_drains_is_bounded() -> None:
     """Guards against state that grows with every node that ever drained."""
     node_registry = registry.Registry()
