--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -348,13 +348,13 @@
 ) -> Link:
     """Open a link to 'host:port'.
 
-    Errors: LinkError of kind PEER_LOST when the connection fails or times
-    out, BAD_MESSAGE for an invalid reply, NOT_ADMITTED when the peer does not
-    prove that it knows the secret.
+    Errors: LinkError of kind PEER_LOST when the address is invalid or the
+    connection fails or times out, BAD_MESSAGE for an invalid reply,
+    NOT_ADMITTED when the peer does not prove that it knows the secret.
     """
-    host, port = split_address(address)
     local = (local_host, 0) if local_host else None
     try:
+        host, port = split_address(address)
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(
                 host, port, local_addr=local
@@ -366,9 +366,11 @@
                 link.close()
                 raise
             return link
-    except (OSError, TimeoutError) as e:
+    except (OSError, TimeoutError, ValueError, OverflowError) as e:
+        # The last two come from an address that names no host or port.
+        shown = address.encode('ascii', 'backslashreplace').decode()
         raise errors.LinkError(
-            errors.ErrorKind.PEER_LOST, f'No link to {address}: {e}.'
+            errors.ErrorKind.PEER_LOST, f'No link to {shown}: {e}.'
         ) from e
 
 
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -250,6 +250,31 @@
     _run(test)
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        '',
+        'host',
+        '127.0.0.1:65536',
+        '127.0.0.1:-1',
+        '127.0.0.1:' + '9' * 400,
+        'a..b:80',
+        'a' * 300 + ':80',
+        '\ud800:80',
+    ],
+)
+def test_connecting_to_an_invalid_address(address: str) -> None:
+    """Guards against one odd entry of a list that ends its reader."""
+
+    async def connect() -> None:
+        with pytest.raises(errors.LinkError) as raised:
+            await links.connect(address, _identity('n1'))
+        assert raised.value.kind is errors.ErrorKind.PEER_LOST
+        assert raised.value.detail.isascii()
+
+    asyncio.run(connect())
+
+
 def test_silent_peer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against connections that stay open without a handshake."""
     monkeypatch.setattr(links, 'HANDSHAKE_TIMEOUT_S', 0.01)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -1,108 +1,17 @@
 """Heartbeats and deregistrations of an upstream at its node."""
 
-import asyncio
-import collections.abc
-import json
 import typing
 
-from adapter import names
-from adapter import node as node_adapter
 import pytest
 
-from godwitstall import errors
-from godwitstall import http_listener
-from godwitstall.members import registry
 from godwitstall import messages
-from godwitstall.node import gateway_node
-from tests import gateways
+from tests.platform import harnesses
 
 _READY = messages.UpstreamState.READY
 _DRAINING = messages.UpstreamState.DRAINING
 
 
-class _Control:
-    """Records the commands of a node in a registry, without a network."""
-
-    def __init__(self, node: gateway_node.GatewayNode) -> None:
-        self.node = node
-        self.registry = registry.Registry()
-        # Whether commands get no reply.
-        self.is_lost = False
-
-    async def propose(
-        self, command: typing.Any, timeout_s: float
-    ) -> messages.Message:
-        if self.is_lost:
-            raise errors.ControlError(errors.ErrorKind.CONTROL_LOST)
-        result, _ = self.registry.apply(command)
-        self.node.view.apply(
-            messages.StateUpdate(
-                self.node.view.index + 1,
-                True,
-                members=list(self.registry.members.values()),
-            )
-        )
-        return result
-
-
-class _Harness:
-    """Calls the instance endpoint of a node whose listeners are not started.
-
-    Only its membership runs, during each call.
-    """
-
-    def __init__(self, runner: asyncio.Runner) -> None:
-        self.runner = runner
-        self.node = gateways.make_node('siop', names.DIALECT)
-        self.adapter = node_adapter.NodeApi(self.node)
-        self.control = _Control(self.node)
-        session: typing.Any = self.node.session
-        session.propose = self.control.propose
-        session.incarnation = 1
-        session.connected.set()
-        self.membership_task = runner.get_loop().create_task(
-            self.node.membership.run()
-        )
-
-    def call(self, target: str, body: bytes = b'') -> int:
-        request = http_listener.Request('POST', target, [], body, 0.0)
-        return self.runner.run(self.adapter.serve_call(request)).status
-
-    def drains(self) -> list[int]:
-        """Return the upstream processes whose drain is recorded."""
-        return [
-            incarnation
-            for _, incarnation in self.control.registry.drained_upstreams
-        ]
-
-    def heartbeat(self, instance_id: str, **changes: typing.Any) -> int:
-        content = {
-            'service': 'siop',
-            'address': '127.0.0.1:9000',
-            'zone': 'z1',
-            'version': 'v1',
-            'concurrency': 87,
-            'state': 'ready',
-            'coldRemaining': '0ms',
-            'sequence': 1,
-            'born': 1000,
-        } | changes
-        return self.call(
-            f'/-/rpc?call=instances.heartbeat&of={instance_id}',
-            json.dumps(content).encode(),
-        )
-
-    def deregister(self, instance_id: str) -> int:
-        return self.call(f'/-/rpc?call=instances.deregister&of={instance_id}')
-
-
-@pytest.fixture(name='harness')
-def _make_harness() -> collections.abc.Iterator[_Harness]:
-    with asyncio.Runner() as runner:
-        yield _Harness(runner)
-
-
-def test_announced_upstream_gets_work(harness: _Harness) -> None:
+def test_announced_upstream_gets_work(harness: harnesses.Harness) -> None:
     """Guards against an upstream that stays down after a heartbeat."""
     assert harness.heartbeat('i-1') == 200
     assert harness.node.upstream.state is _READY
@@ -110,7 +19,9 @@
     assert harness.node.upstream.instance_id == 'i-1'
 
 
-def test_late_heartbeat_does_not_undo_a_drain(harness: _Harness) -> None:
+def test_late_heartbeat_does_not_undo_a_drain(
+    harness: harnesses.Harness,
+) -> None:
     """Guards against requests to a draining upstream."""
     harness.heartbeat('i-1', sequence=4)
     harness.heartbeat('i-1', sequence=6, state='draining')
@@ -118,7 +29,9 @@
     assert harness.node.upstream.state is _DRAINING
 
 
-def test_heartbeat_does_not_undo_a_deregistration(harness: _Harness) -> None:
+def test_heartbeat_does_not_undo_a_deregistration(
+    harness: harnesses.Harness,
+) -> None:
     """Guards against requests to a deregistered upstream."""
     harness.heartbeat('i-1', sequence=4)
     assert harness.deregister('i-1') == 200
@@ -127,7 +40,7 @@
 
 
 def test_late_heartbeat_of_the_process_before_changes_nothing(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against requests addressed to a terminated process."""
     harness.heartbeat('i-2', born=2000)
@@ -136,7 +49,7 @@
 
 
 def test_new_process_under_the_same_id_starts_afresh(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against ignoring a restart because of its lower sequence."""
     harness.heartbeat('i-1', sequence=40)
@@ -146,7 +59,7 @@
 
 
 def test_deregistration_of_another_process_changes_nothing(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against a late deregistration that drains the successor."""
     harness.heartbeat('i-2', born=2000)
@@ -166,7 +79,9 @@
 
 
 @pytest.mark.parametrize('name', _INVALID_FIELDS)
-def test_forged_heartbeat_is_refused(harness: _Harness, name: str) -> None:
+def test_forged_heartbeat_is_refused(
+    harness: harnesses.Harness, name: str
+) -> None:
     """Guards against a node that accepts an unusable upstream."""
     assert harness.heartbeat('i-1', **_INVALID_FIELDS[name]) == 400
     assert harness.node.upstream.state is messages.UpstreamState.DOWN
@@ -174,21 +89,21 @@
 
 @pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'7', b'{' * 5000])
 def test_unreadable_heartbeat_is_refused(
-    harness: _Harness, body: bytes
+    harness: harnesses.Harness, body: bytes
 ) -> None:
     """Guards against an unhandled exception in the instance endpoint."""
     target = '/-/rpc?call=instances.heartbeat&of=i-1'
     assert harness.call(target, body) == 400
 
 
-def test_other_calls_are_not_found(harness: _Harness) -> None:
+def test_other_calls_are_not_found(harness: harnesses.Harness) -> None:
     """Guards against unknown calls that are acknowledged."""
     assert harness.call('/-/rpc?call=other') == 404
     assert harness.call('/other') == 404
 
 
 def test_deregistration_before_the_first_heartbeat_is_kept(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against ignoring a deregistration sent before a heartbeat."""
     assert harness.deregister('i-1') == 503
@@ -199,7 +114,7 @@
 
 
 def test_deregistration_is_recorded_when_acknowledged(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against an acknowledged leave that is lost with the node."""
     harness.heartbeat('i-1', sequence=4)
@@ -207,14 +122,16 @@
     assert harness.drains() == [1000]
 
 
-def test_draining_is_recorded_when_acknowledged(harness: _Harness) -> None:
+def test_draining_is_recorded_when_acknowledged(
+    harness: harnesses.Harness,
+) -> None:
     """Guards against an acknowledged drain that is lost with the node."""
     assert harness.heartbeat('i-1', state='draining') == 200
     assert harness.drains() == [1000]
 
 
 def test_deregistration_in_a_planned_stop_is_recorded(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against a leave that is forgotten with a stopping node."""
     harness.heartbeat('i-1', sequence=4)
@@ -226,7 +143,7 @@
 
 @pytest.mark.parametrize('is_deregistered', [False, True])
 def test_drain_is_not_acknowledged_without_control(
-    harness: _Harness, is_deregistered: bool
+    harness: harnesses.Harness, is_deregistered: bool
 ) -> None:
     """Guards against an acknowledged drain that is lost with its node."""
     harness.heartbeat('i-1', sequence=4)
@@ -244,7 +161,9 @@
     assert harness.drains() == [1000]
 
 
-def test_late_draining_heartbeat_still_drains(harness: _Harness) -> None:
+def test_late_draining_heartbeat_still_drains(
+    harness: harnesses.Harness,
+) -> None:
     """Guards against an acknowledged drain without an effect."""
     harness.heartbeat('i-1', sequence=6)
     assert harness.heartbeat('i-1', sequence=5, state='draining') == 200
@@ -253,7 +172,7 @@
 
 
 def test_drain_of_the_process_before_is_not_acknowledged(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against an acknowledged drain that the node cannot place."""
     harness.heartbeat('i-2', born=2000)
@@ -264,7 +183,7 @@
 
 @pytest.mark.parametrize('is_deregistered', [False, True])
 def test_call_without_an_instance_is_refused(
-    harness: _Harness, is_deregistered: bool
+    harness: harnesses.Harness, is_deregistered: bool
 ) -> None:
     """Guards against an acknowledged call that names no upstream."""
     call = harness.deregister if is_deregistered else harness.heartbeat
@@ -273,7 +192,7 @@
 
 
 def test_new_process_after_an_unknown_deregistration_gets_work(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against an instance id that stays deregistered for ever."""
     harness.deregister('i-1')
@@ -281,7 +200,9 @@
     assert harness.node.upstream.state is _READY
 
 
-def test_unknown_deregistrations_are_bounded(harness: _Harness) -> None:
+def test_unknown_deregistrations_are_bounded(
+    harness: harnesses.Harness,
+) -> None:
     """Guards against unbounded memory for unknown instance ids."""
     for number in range(1000):
         harness.deregister(f'i-{number}')
@@ -289,7 +210,7 @@
 
 
 def test_upstream_that_drained_and_was_lost_stays_out(
-    harness: _Harness,
+    harness: harnesses.Harness,
 ) -> None:
     """Guards against a refused connection that ends the draining state."""
     harness.heartbeat('i-1', sequence=1, state='draining')
