Follow an upstream again when the process that displaced it is silent

Here a heartbeat with a later start than the real upstream made its node ignore all further heartbeats of the upstream, with 200, until its next start; the product's own interface refused them with 400. After announce_timeout_s the upstream counted as gone and got no more work.

Cause: the newest start that was ever announced was kept as the lower bound, also when nothing more was heard of it.

Change: once the current process has been silent for announce_timeout_s, a node follows any process that announces itself. A drain of the other process still holds, since control remembers drains by process.

Figures: test_upstream_is_followed_again_after_an_odd_process fails before the change and passes after it; the other tests of the file and of upstream states pass.

Conclusion: an odd entry costs the upstream announce_timeout_s at most, and no longer its whole life.

--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstream.py
@@ -128,6 +128,13 @@
             and self.client is not None
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Return whether the upstream has not announced itself for too long.
+
+        Also true before the first announcement.
+        """
+        return now - self.announced_at > self.options.announce_timeout_s
+
     def capacity(self, now: float) -> int:
         """Return how many requests may run at once at this time."""
         share = self.warmup.share(now)
@@ -140,9 +147,12 @@
         """Process an announcement; a new incarnation resets the state.
 
         Errors: RequestError of kind BAD_REQUEST for an incarnation that is
-        older than the current one.
+        older than the current one, unless the current one is silent. One odd
+        announcement would otherwise shut out the upstream for good.
         """
-        if announcement.incarnation < self.incarnation:
+        if announcement.incarnation < self.incarnation and (
+            not self.is_silent(now)
+        ):
             raise errors.RequestError(
                 errors.ErrorKind.BAD_REQUEST,
                 f'incarnation: {announcement.incarnation} is older than '
@@ -315,13 +325,13 @@
         while True:
             await asyncio.sleep(self.options.probe_interval_s)
             now = clock.now()
-            silent_s = now - self.announced_at
             if (
                 self.state is not messages.UpstreamState.DOWN
-                and silent_s > self.options.announce_timeout_s
+                and self.is_silent(now)
             ):
                 _LOG.warning(
-                    'Upstream has sent no announcement for %.1f s.', silent_s
+                    'Upstream has sent no announcement for %.1f s.',
+                    now - self.announced_at,
                 )
                 self.set_state(messages.UpstreamState.DOWN)
             self._check_stall(now)
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from godwitstall import clock
 from godwitstall import messages
 from tests.platform import harnesses
 
@@ -217,3 +218,27 @@
     harness.node.upstream.mark_down(harness.node.upstream.incarnation)
     harness.heartbeat('i-1', sequence=2)
     assert harness.node.upstream.state is _DRAINING
+
+
+def test_upstream_is_followed_again_after_an_odd_process(
+    harness: harnesses.Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one heartbeat that shuts out an upstream for good.
+
+    It seems to come from a process that starts later. No other follows it,
+    and the upstream goes on.
+    """
+    now = clock.now()
+    monkeypatch.setattr(clock, 'now', lambda: now)
+    harness.heartbeat('i-1', sequence=1)
+    harness.heartbeat('i-2', sequence=1, born=4_000_000_000_000)
+    harness.heartbeat('i-1', sequence=2)
+    assert harness.node.upstream.instance_id == 'i-2'
+    now += harness.node.options.announce_timeout_s + 0.1
+    assert harness.heartbeat('i-1', sequence=3) == 200
+    upstream = harness.node.upstream
+    assert upstream.instance_id == 'i-1'
+    assert upstream.state is messages.UpstreamState.READY
+    # A late heartbeat of the process that is followed is still ignored.
+    assert harness.heartbeat('i-1', sequence=2, concurrency=1) == 200
+    assert upstream.slots == 87
