--- a/bench/demo.py
+++ b/bench/demo.py
@@ -12,6 +12,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import json
 import os
 import pathlib
 import signal
@@ -131,9 +132,23 @@
             f"{fleet_table}[ctl]\noperator = 'demo'\n"
         )
 
-    async def _run_ctl(self, *args: str) -> str:
+    async def _run_ctl(self, *args: str) -> None:
         """Run a godwitstall-ctl command; print the command and its output."""
         print(f'\n$ godwitstall-ctl --settings ctl.toml {" ".join(args)}')
+        print(await self._call_ctl(*args))
+
+    async def _query_ctl(self, *args: str) -> dict[str, typing.Any]:
+        """Return the fields that a godwitstall-ctl command reports."""
+        fields: dict[str, typing.Any] = json.loads(
+            await self._call_ctl('--json', *args)
+        )
+        return fields
+
+    async def _call_ctl(self, *args: str) -> str:
+        """Return the output of a godwitstall-ctl command.
+
+        Errors: DemoError with the output when it fails or takes too long.
+        """
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -156,10 +171,10 @@
                 process.kill()
                 await process.wait()
         text = output.decode().rstrip()
-        print(text)
         if process.returncode:
             raise DemoError(
-                f'{" ".join(args)} exited with code {process.returncode}.'
+                f'{" ".join(args)} exited with code {process.returncode}:\n'
+                f'{text}'
             )
         return text
 
@@ -222,9 +237,15 @@
             await self._check_call(
                 'POST', '/cyfran', _LARGE, 200, outcome, header
             )
-        output = await self._run_ctl('operation', operation_id)
-        if 'RUN. The upstream gave a whole answer.' not in output:
-            raise DemoError('The operation is not recorded as run.')
+        await self._run_ctl('operation', operation_id)
+        # The text is for people and may be reworded, unlike the fields.
+        [operation] = (await self._query_ctl('operation', operation_id))[
+            'operations'
+        ]
+        if (operation['state'], operation['status']) != ('run', 200):
+            raise DemoError(
+                f'The operation is not recorded as run: {operation}.'
+            )
 
     async def _check_call(
         self,
