Replace links that lead to a replica that was closed

Cause: a replica whose disk failed is started again in its process. LinkServer.close_links() left links open whose handshake was in progress; they were added afterwards and led to the closed replica, which answers each request with 'The replica is not running'. The leader and candidates kept such a link for as long as the process ran. Once a majority of replicas is behind such links, control has no majority for good.

Change: a closed server closes a link whose handshake ends later. A leader or a candidate that gets an error from a replica closes the link and connects again.

--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -169,14 +169,20 @@
             request.is_pre_vote,
             request.is_transfer,
         )
+        if link is None:
+            return peer.slot, None
         try:
-            if link is not None:
-                reply = await link.request(
-                    copy, self.replica.options.election_min_s
-                )
-                if isinstance(reply, messages.VoteReply):
-                    return peer.slot, reply
-        except errors.GodwitstallError as e:
+            reply = await link.request(
+                copy, self.replica.options.election_min_s
+            )
+            if isinstance(reply, messages.VoteReply):
+                return peer.slot, reply
+        except errors.ControlError as e:
+            _LOG.info('Replica %s rejected a vote request: %s', peer.slot, e)
+            # The replica at the other end has failed or was closed. It may
+            # have been started again and accept another link.
+            link.close()
+        except errors.LinkError as e:
             _LOG.debug('Vote request to %s failed: %s', peer.slot, e)
         return peer.slot, None
 
--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -92,6 +92,10 @@
                     await self._run_once(link)
             except errors.LinkError as e:
                 _LOG.debug('Link to replica %s failed: %s', self.slot, e)
+            except errors.ControlError as e:
+                # The replica at the other end has failed or was closed. It
+                # may have been started again and accept another link.
+                _LOG.info('Replica %s rejected a request: %s', self.slot, e)
             finally:
                 self.link = None
                 self.is_caught_up = False
@@ -105,10 +109,7 @@
         self.wake.clear()
         if self.replica.is_leader:
             timeout_s = self.replica.options.append_interval_ms / 1000
-            try:
-                has_more = await self._replicate(link)
-            except errors.ControlError as e:
-                _LOG.debug('Replica %s rejected a request: %s', self.slot, e)
+            has_more = await self._replicate(link)
         if not has_more:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(timeout_s):
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -454,6 +454,8 @@
         self.server: asyncio.Server | None = None
         # Open links.
         self.links: set[Link] = set()
+        # Whether no link is served any more.
+        self.is_closed = False
 
     @abc.abstractmethod
     async def serve(self, link: Link) -> None:
@@ -477,6 +479,11 @@
         except errors.LinkError as e:
             _LOG.warning('Rejected an incoming link: %s', e)
             return
+        if self.is_closed:
+            # The handshake has ended after close_links(). The peer would
+            # never connect to the next server at this address.
+            link.close()
+            return
         self.links.add(link)
         try:
             await self.serve(link)
@@ -484,7 +491,8 @@
             self.links.discard(link)
 
     def close_links(self) -> None:
-        """Stop listening and close all links."""
+        """Stop listening and close all links, also those of handshakes."""
+        self.is_closed = True
         if self.server is not None:
             self.server.close()
         for link in list(self.links):
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -275,6 +275,51 @@
     asyncio.run(connect())
 
 
+class _LinkServer(links.LinkServer):
+    """Records the links that it serves."""
+
+    def __init__(self) -> None:
+        super().__init__(_identity('server'))
+        self.served: list[links.Link] = []
+
+    async def serve(self, link: links.Link) -> None:
+        self.served.append(link)
+        await link.run(_ignore)
+
+
+def test_handshake_that_ends_after_the_close(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a link that a closed server keeps open.
+
+    A replica that fails and is started again in its process would never get
+    another link from a peer whose link the server before had just accepted.
+    """
+    may_end = asyncio.Event()
+    accept = links.accept
+
+    async def accept_slowly(*arguments: typing.Any) -> links.Link:
+        link = await accept(*arguments)
+        await may_end.wait()
+        return link
+
+    async def run() -> None:
+        monkeypatch.setattr(links, 'accept', accept_slowly)
+        server = _LinkServer()
+        await server.listen('127.0.0.1:0')
+        assert server.server is not None
+        port = server.server.sockets[0].getsockname()[1]
+        link = await links.connect(f'127.0.0.1:{port}', _identity('n1'))
+        server.close_links()
+        may_end.set()
+        async with asyncio.timeout(_TEST_TIMEOUT_S):
+            with pytest.raises(errors.LinkError):
+                await link.receive()
+        assert not server.served
+
+    asyncio.run(run())
+
+
 def test_silent_peer(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against connections that stay open without a handshake."""
     monkeypatch.setattr(links, 'HANDSHAKE_TIMEOUT_S', 0.01)
