Write nothing to the disk of a replica that was closed

Cause: a replica whose disk failed is closed, and opened again in its process after a second. Its tasks are cancelled when it fails and again when it is closed; the second cancellation ended the wait of run_blocking() for its thread, which then wrote to files that had been opened again. A request that waited for the log of a closed replica waited for ever.

Evidence: by reading, while the report of full disks was traced; then three tests, each of which fails before the change.

Change: run_blocking() waits for its thread however often it is cancelled.

Conclusion: no operation of a closed replica reaches a disk that is open again.

--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -47,6 +47,7 @@
         # Term and vote as stored on disk.
         self.stored_vote = storage.Vote()
         self._store_lock = asyncio.Lock()
+        self._is_closed = False
         self.reset_deadline()
 
     def reset_deadline(self) -> None:
@@ -62,8 +63,13 @@
         self.reset_deadline()
 
     async def store_vote(self) -> None:
-        """Make the current term and vote durable."""
+        """Make the current term and vote durable.
+
+        Errors: OSError when the disk failed, DiskError after close().
+        """
         async with self._store_lock:
+            if self._is_closed:
+                raise errors.DiskError('The replica is closed.')
             vote = storage.Vote(self.replica.term, self.replica.voted_for)
             if vote != self.stored_vote:
                 await storage.run_blocking(
@@ -71,6 +77,11 @@
                 )
                 self.stored_vote = vote
 
+    async def close(self) -> None:
+        """Wait for a vote that is being stored; store no more."""
+        async with self._store_lock:
+            self._is_closed = True
+
     def is_new_fleet(self) -> bool:
         """Return whether the disk is initial and has never had voters."""
         replica = self.replica
--- a/godwitstall/consensus/log.py
+++ b/godwitstall/consensus/log.py
@@ -43,7 +43,7 @@
         # Called after durable_index has increased.
         self.on_durable: collections.abc.Callable[[], None] = lambda: None
         # Error of the disk after which nothing is written.
-        self.failure: BaseException | None = None
+        self.failure: OSError | None = None
         self._queue: list[_Operation] = []
         # Number of calls that queued work since the start, and how many of
         # them are completed. Consecutive appends are merged in the queue.
@@ -220,6 +220,16 @@
                     errors.DiskError(f'The disk failed: {failure}.')
                 )
 
+    def close(self) -> None:
+        """Close the files; whoever still waits for the disk gets an error.
+
+        Nothing is written after run() has been cancelled.
+        """
+        self.files.close()
+        if self.failure is None:
+            self.failure = OSError('The log is closed')
+            self._resolve_waiters(self._queued_count, self.failure)
+
     def _execute(self, operations: list[_Operation]) -> None:
         for operation in operations:
             if isinstance(operation, list):
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -114,6 +114,8 @@
                 self.peers[slot] = peers.Peer(self, slot, address)
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_started = False
+        # Whether nothing may be written to the disk any more.
+        self._is_closed = False
         # Index of this leader's first entry, and time when its term began.
         self.term_start_index = 0
         self.leader_since = 0.0
@@ -253,7 +255,7 @@
 
     def _fail(self, failure: BaseException) -> None:
         """End after an error; memory and disk may be inconsistent."""
-        if self.failure is None:
+        if self.failure is None and not self._is_closed:
             _LOG.error('The replica failed: %s', failure, exc_info=failure)
             self.failure = failure
             self._failed.set()
@@ -303,13 +305,22 @@
             await self._wait_ack()
 
     async def close(self) -> None:
-        """End all tasks without a leadership transfer, as a crash would."""
+        """End all tasks without a leadership transfer, as a crash would.
+
+        When this returns, the disk can be opened again: no file operation is
+        in progress, and none follows.
+        """
         self._step_down()
+        self._is_closed = True
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        self.log.files.close()
+        self.log.close()
+        # Requests of other replicas are handled in tasks of their links.
+        await self.election.close()
+        async with self._snapshot_lock:
+            pass
 
     async def _run_timer(self) -> None:
         tick_s = min(
@@ -634,8 +645,13 @@
         state: memoryview,
         data: bytearray,
     ) -> None:
-        """Store and load a snapshot from the leader."""
+        """Store and load a snapshot from the leader.
+
+        Errors: DiskError when the disk failed or the replica is closed.
+        """
         async with self._snapshot_lock:
+            if self._is_closed:
+                raise errors.DiskError('The replica is closed.')
             await storage.run_blocking(
                 storage.write_snapshot, self.folder, header.last_index, data
             )
--- a/godwitstall/consensus/storage.py
+++ b/godwitstall/consensus/storage.py
@@ -82,16 +82,23 @@
 ) -> None:
     """Run a file operation in a thread.
 
-    Cancellation waits for the thread, so that the caller can safely reopen
-    the files afterwards.
+    Cancellation waits for the thread, however often it is repeated, so that
+    the caller can safely reopen the files afterwards.
     """
     thread = asyncio.ensure_future(asyncio.to_thread(action, *arguments))
-    try:
-        await asyncio.shield(thread)
-    except asyncio.CancelledError:
-        with contextlib.suppress(OSError):
-            await thread
-        raise
+    is_cancelled = False
+    while not thread.done():
+        try:
+            # Unlike await, this does not cancel the thread's future.
+            await asyncio.wait((thread,))
+        except asyncio.CancelledError:
+            is_cancelled = True
+    if not is_cancelled:
+        thread.result()
+        return
+    # Retrieved, since asyncio logs an error that nobody has seen.
+    thread.exception()
+    raise asyncio.CancelledError()
 
 
 def sync_folder(folder: pathlib.Path) -> None:
--- a/tests/consensus/test_full_disks.py
+++ b/tests/consensus/test_full_disks.py
@@ -13,10 +13,12 @@
 import os
 import pathlib
 import random
+import threading
 import typing
 
 import pytest
 
+from godwitstall.consensus import storage
 from godwitstall import errors
 from godwitstall import messages
 from tests.consensus import fleet as fleets
@@ -217,6 +219,113 @@
     assert len(simulation.acknowledged) > _ROUNDS
 
 
+def test_cancelled_file_operation_is_waited_for() -> None:
+    """Guards against a thread that writes to files which were opened again.
+
+    The tasks of a replica that has failed are cancelled, and again when the
+    replica is closed.
+    """
+
+    async def run() -> None:
+        events = []
+        may_end = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        def write() -> None:
+            asyncio.run_coroutine_threadsafe(may_end.wait(), loop).result()
+            events.append('written')
+
+        task = asyncio.create_task(storage.run_blocking(write))
+        for _ in range(3):
+            await asyncio.sleep(0.01)
+            task.cancel()
+        await asyncio.sleep(0.01)
+        assert not task.done()
+        may_end.set()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+        assert events == ['written']
+
+    asyncio.run(run())
+
+
+def _vote_request(term: int) -> messages.VoteRequest:
+    return messages.VoteRequest(
+        term=term,
+        slot=messages.SlotId('c2'),
+        last_index=1000,
+        last_term=term,
+    )
+
+
+def test_close_waits_for_a_vote_that_is_stored(
+    tmp_path: pathlib.Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an old vote that replaces a later one on the disk.
+
+    The replica is started again in its process while its disk hangs with a
+    vote that another replica has asked for.
+    """
+    fleet = fleets.Fleet(tmp_path, 3)
+    may_write = threading.Event()
+    write_vote = storage.write_vote
+    stored_terms = []
+
+    def write_slowly(folder: pathlib.Path, vote: storage.Vote) -> None:
+        may_write.wait(fleets.TIMEOUT_S)
+        write_vote(folder, vote)
+        stored_terms.append(vote.term)
+
+    async def scenario(_: fleets.Fleet) -> None:
+        slot = fleet.slots[0]
+        member = fleets.Member(fleet, slot)
+        await member.replica.start()
+        # No leader has been heard of for long.
+        member.replica.election.leader_contact_at = -1e9
+        monkeypatch.setattr(storage, 'write_vote', write_slowly)
+        requests = [
+            asyncio.create_task(
+                member.replica.election.on_vote_request(_vote_request(term))
+            )
+            for term in (7, 8)
+        ]
+        await asyncio.sleep(0.05)
+        close = asyncio.create_task(member.replica.close())
+        await asyncio.sleep(0.05)
+        assert not close.done()
+        may_write.set()
+        await close
+        count = len(stored_terms)
+        await asyncio.gather(*requests, return_exceptions=True)
+        # None is stored once the disk can be opened again.
+        assert len(stored_terms) == count
+        term = storage.read_vote(fleet.folder(slot)).term
+        assert term == stored_terms[-1]
+
+    fleets.run(scenario, fleet)
+
+
+def test_close_ends_a_wait_for_the_disk(tmp_path: pathlib.Path) -> None:
+    """Guards against a stop that waits for a log that is not written."""
+    fleet = fleets.Fleet(tmp_path, 3)
+
+    async def scenario(_: fleets.Fleet) -> None:
+        member = fleets.Member(fleet, fleet.slots[0])
+        await member.replica.start()
+        replica = member.replica
+        for task in list(replica._tasks):
+            task.cancel()
+        await asyncio.sleep(0)
+        replica.log.append([messages.Entry(1, 1, 0, b'x')])
+        sync = asyncio.create_task(replica.log.sync())
+        await asyncio.sleep(0)
+        await replica.close()
+        with pytest.raises(errors.DiskError):
+            await asyncio.wait_for(sync, 1.0)
+
+    fleets.run(scenario, fleet)
+
+
 async def _close_but_not_its_links(
     fleet: fleets.Fleet, slot: messages.SlotId
 ) -> fleets.Member:
