Close links between replicas that have gone silent

Cause: only the leader's own requests closed a link that does not answer. Vote requests and forwarded requests of the others timed out on the same dead link again and again.

Change: a link that a replica opened to another is closed when a request times out and nothing has been received since it was sent. Other links are as before.

Sessions of nodes had timeouts of their own that close them.

--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -84,6 +84,7 @@
                 _LOG.debug('Cannot connect to replica %s: %s', self.slot, e)
                 await asyncio.sleep(retry_interval_s)
                 continue
+            link.closes_when_silent = True
             self.link = link
             reader = asyncio.create_task(link.run(_discard_message))
             reader.add_done_callback(lambda _: self.wake.set())
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -110,6 +110,10 @@
         # Requests without a reply so far, by sequence number.
         self.pending: dict[int, asyncio.Future[messages.Message]] = {}
         self.is_closed = False
+        # Whether the link is closed when a request times out and nothing has
+        # been received since it was sent. The connection of an otherwise idle
+        # link may be dead without a sign, and a new one may work.
+        self.closes_when_silent = False
         # Longest frame that is accepted, bytes.
         self.max_frame_bytes = _MAX_HANDSHAKE_FRAME_BYTES
         # Bytes sent and received, for statistics.
@@ -155,9 +159,10 @@
 
         Errors: ControlError when the peer replies with an error, LinkError
         of kind PEER_LOST when the link closes or no reply arrives within
-        timeout_s.
+        timeout_s. See also closes_when_silent.
         """
         message.seq = next(self._seq_numbers)
+        received_before = self.bytes_received
         future = asyncio.get_running_loop().create_future()
         self.pending[message.seq] = future
         try:
@@ -167,6 +172,11 @@
             async with asyncio.timeout(timeout_s):
                 reply: messages.Message = await future
         except TimeoutError as e:
+            if self.closes_when_silent and (
+                self.bytes_received == received_before
+            ):
+                _LOG.info('Closing the silent link to %s.', self.peer_id)
+                self.close()
             raise errors.LinkError(
                 errors.ErrorKind.PEER_LOST, 'The request timed out.'
             ) from e
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -513,6 +513,32 @@
     _run(test)
 
 
+def test_request_over_a_silent_link() -> None:
+    """Guards against a dead connection that is used for ever."""
+
+    async def test(server: _Server) -> None:
+        client, peer = await _connect_pair(server)
+        client.closes_when_silent = True
+        reader = asyncio.create_task(client.run(_ignore))
+
+        async def request_and_time_out() -> None:
+            with pytest.raises(errors.LinkError):
+                await client.request(messages.Query(), 0.05)
+
+        request = asyncio.create_task(request_and_time_out())
+        await peer.receive()
+        # The peer is there, and only this reply is late.
+        peer.send(messages.Done())
+        await request
+        assert not client.is_closed
+        await request_and_time_out()
+        assert client.is_closed
+        peer.close()
+        await reader
+
+    _run(test)
+
+
 def test_error_reply() -> None:
     """Guards against an error reply that is returned as a normal one."""
 
--- a/tests/consensus/fleet.py
+++ b/tests/consensus/fleet.py
@@ -92,7 +92,10 @@
 
             async def handle(message: messages.Message) -> None:
                 pair = frozenset((accepted.peer_id, self.slot))
-                if pair not in self.fleet.blocked_pairs:
+                if (
+                    pair not in self.fleet.blocked_pairs
+                    and accepted not in self.fleet.silent_links
+                ):
                     await self.replica.handle(message, accepted)
 
             await accepted.run(handle)
@@ -128,6 +131,8 @@
         )
         # Pairs of slots between which messages are dropped.
         self.blocked_pairs: set[frozenset[str]] = set()
+        # Links whose messages are dropped, while they stay open.
+        self.silent_links: set[link.Link] = set()
         self.members: dict[messages.SlotId, Member] = {}
         for slot in self.slots:
             self.format(slot, True)
@@ -160,6 +165,11 @@
             frozenset((slot, s)) for s in self.slots if s != slot
         }
 
+    def silence_open_links(self) -> None:
+        """Drop all messages on the links that are open now."""
+        for member in self.members.values():
+            self.silent_links |= member.links
+
     def others(self, *slots: messages.SlotId) -> list[messages.SlotId]:
         return [slot for slot in self.slots if slot not in slots]
 
