--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -17,8 +17,11 @@
 _HEARTBEAT = {
     'service': 'siop',
     'address': '127.0.0.1:9000',
+    'zone': 'z1',
+    'version': 'v1',
     'concurrency': 87,
     'state': 'ready',
+    'coldRemaining': '0ms',
     'sequence': 7,
     'born': 1000,
 }
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -76,6 +76,10 @@
     'address without port': {'address': 'here'},
     'address of another type': {'address': 7},
     'infinite sequence': {'sequence': float('inf')},
+    'no zone': {'zone': None},
+    'no version': {'version': None},
+    'no time until it is warm': {'coldRemaining': None},
+    'time without a unit': {'coldRemaining': 0},
 }
 
 
@@ -88,6 +92,21 @@
     assert harness.node.upstream.state is messages.UpstreamState.DOWN
 
 
+def test_heartbeat_of_another_writer_does_not_hide_a_drain(
+    harness: harnesses.Harness,
+) -> None:
+    """Guards against a foreign heartbeat that takes the place of an upstream.
+
+    It names the id of the upstream and a later start, and lacks fields.
+    """
+    harness.heartbeat('i-1', sequence=4)
+    foreign = {'zone': None, 'version': None, 'coldRemaining': None}
+    assert harness.heartbeat('i-1', born=2000, sequence=1, **foreign) == 400
+    assert harness.heartbeat('i-1', sequence=5, state='draining') == 200
+    assert harness.node.upstream.state is _DRAINING
+    assert harness.drains() == [1000]
+
+
 @pytest.mark.parametrize('body', [b'', b'\xff', b'[]', b'7', b'{' * 5000])
 def test_unreadable_heartbeat_is_refused(
     harness: harnesses.Harness, body: bytes
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -183,8 +183,11 @@
         heartbeat = {
             'service': 'gwydd',
             'address': address,
+            'zone': 'z1',
+            'version': 'v1',
             'concurrency': 5,
             'state': 'ready',
+            'coldRemaining': '0ms',
             'sequence': sequence,
             'born': 1000,
         }
