Bound the log of control by its size, too

The log of large manifests filled memory and disk long before. All entries of a start were applied in turns of 256, in which the event loop stands still.

Both tests of test_large_commands.py fail before the change and pass after it.

Conclusion: what a replica keeps no longer depends on how large changes are.

--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -36,8 +36,14 @@
 
 _LOG = logs.get('consensus')
 
-# Entries applied in one iteration of the event loop.
+# Entries, and bytes of their commands, applied in one iteration of the event
+# loop.
 _APPLY_BATCH_ENTRIES = 256
+_APPLY_BATCH_BYTES = 256 * 1024
+
+# A snapshot is also due after commands of this size. A replica keeps those of
+# two intervals in memory and on disk, and reads them when it starts.
+_SNAPSHOT_LOG_BYTES = 8 * 1024 * 1024
 
 # A snapshot is due when its size is at most this multiple of the size of the
 # commands applied after it. This limits the bytes written for snapshots to
@@ -539,10 +545,14 @@
         last = min(
             self.commit_index, self.applied_index + _APPLY_BATCH_ENTRIES
         )
+        batch_bytes = 0
         try:
             for entry in self.log.entries_between(
                 self.applied_index + 1, last
             ):
+                if batch_bytes > _APPLY_BATCH_BYTES:
+                    break
+                batch_bytes += len(entry.command)
                 result = self._apply(entry)
                 self.applied_index = entry.index
                 self._applied_bytes += len(entry.command)
@@ -635,7 +645,9 @@
         entry_count = self.applied_index - self.log.snapshot_index
         return (
             entry_count >= self.options.snapshot_entries
-            and self._applied_bytes * _SNAPSHOT_TO_LOG_RATIO
+            or self._applied_bytes >= _SNAPSHOT_LOG_BYTES
+        ) and (
+            self._applied_bytes * _SNAPSHOT_TO_LOG_RATIO
             >= self._snapshot_bytes
         )
 
