--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -189,7 +189,7 @@
             if isinstance(reply, messages.VoteReply):
                 return peer.slot, reply
         except errors.ControlError as e:
-            _LOG.info('Replica %s rejected a vote request: %s', peer.slot, e)
+            _LOG.debug('Replica %s rejected a vote request: %s', peer.slot, e)
             # The replica at the other end has failed or was closed. It may
             # have been started again and accept another link.
             link.close()
--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -96,7 +96,7 @@
             except errors.ControlError as e:
                 # The replica at the other end has failed or was closed. It
                 # may have been started again and accept another link.
-                _LOG.info('Replica %s rejected a request: %s', self.slot, e)
+                _LOG.debug('Replica %s rejected a request: %s', self.slot, e)
             finally:
                 self.link = None
                 self.is_caught_up = False
