Pass the membership to the entry in the test of large bodies

The test test_large_body creates one with an unused value for each component, and counts them: TypeError.

Change: one more unused value; the test checks what it checked.

--- a/tests/base/test_http_server.py
+++ b/tests/base/test_http_server.py
@@ -405,7 +405,7 @@
     )
     # A request with an oversized body reaches no other component.
     unused: typing.Any = None
-    caller_entry = entry.Entry(options, *(unused for _ in range(7)))
+    caller_entry = entry.Entry(options, *(unused for _ in range(8)))
     body = b'x' * 1025
     chunk = b'401\r\n' + body + b'\r\n'
 
