Say that a known leader cannot be reached

Cause: since links between replicas are closed when they are silent, a replica may know its leader and have no link to it. It answered 'There is no leader at the moment' (not_leader) then.

Change: control_lost, with the slot of the leader, while it is known.

--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -159,13 +159,20 @@
         self, request: typing.Any
     ) -> messages.Message:
         """Forward a request to the leader and return its reply."""
-        link = self.replica.leader_link()
-        if link is None:
+        leader_slot = self.replica.leader_slot
+        if leader_slot in (None, self.replica.slot):
             raise errors.ControlError(
                 errors.ErrorKind.NOT_LEADER,
                 'There is no leader at the moment.',
                 _RETRY_AFTER_MS,
             )
+        link = self.replica.leader_link()
+        if link is None:
+            raise errors.ControlError(
+                errors.ErrorKind.CONTROL_LOST,
+                f'The leader {leader_slot} cannot be reached.',
+                _RETRY_AFTER_MS,
+            )
         try:
             return await link.request(request, _REQUEST_TIMEOUT_S)
         except errors.LinkError as e:
--- a/tests/control/test_service.py
+++ b/tests/control/test_service.py
@@ -269,6 +269,39 @@
     asyncio.run(run())
 
 
+def test_request_while_the_leader_cannot_be_reached(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a known leader that is reported as missing.
+
+    The link to it was closed, because it had gone silent.
+    """
+
+    async def run() -> None:
+        async with harness.running(tmp_path) as fleet:
+            async with _leaderless(fleet) as former_leader:
+                slot = fleet.other_slots(former_leader.slot)[0]
+                replica = fleet.control[slot].replica
+                link = replica.leader_link()
+                if link is not None:
+                    link.close()
+                await fakes.until(
+                    lambda: replica.leader_link() is None, 'link closed'
+                )
+                follower = await _connect(fleet, slot)
+                with pytest.raises(errors.ControlError) as caught:
+                    await follower.request(
+                        messages.Propose(
+                            0, codec.encode(messages.Drain(_NODE, True))
+                        ),
+                        10.0,
+                    )
+                assert caught.value.kind is errors.ErrorKind.CONTROL_LOST
+                assert former_leader.slot in caught.value.detail
+
+    asyncio.run(run())
+
+
 def test_requests_without_a_leader(tmp_path: pathlib.Path) -> None:
     """Guards against requests that hang, or crash a process."""
     requests: list[tuple[messages.Message, errors.ErrorKind]] = [
