Notice that a client has left behind many pipelined requests

What callers saw: requests that were sent on to upstreams after their clients had left (GONE).

Cause: with 32 pending requests on a connection, or a response that the client does not read, the listener paused reading, and the end of a stream is only seen by reading. The handlers ran on, and what waited in a queue, for a token or for a retry went to an upstream. Besides, the limit of 32 held between two reads only: one read of 256 KiB started thousands of handlers.

Change: reading goes on and up to 64 KiB are kept unparsed; requests are parsed in parts of 4 KiB while fewer than 32 are pending. The end of the stream cancels the handlers at once, also when a response is still unsent. Where more has come than is kept, reading pauses as before, and a reset or an end of the stream that has arrived is looked for every 0.5 s.

Limit: an end of the stream behind more bytes than the kernel and the listener hold cannot be seen.

Conclusion: the cause holds for clients that pipeline deeply or read slowly. That the users' report had this cause is only suspected.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -21,6 +21,7 @@
 import dataclasses
 import enum
 import http
+import select
 import socket
 import typing
 
@@ -44,9 +45,16 @@
 # Connections that the kernel queues until the event loop accepts them.
 _BACKLOG = 2048
 
-# Reading is paused while a connection has this many pending requests.
+# No more requests are parsed while a connection has this many pending ones.
 _MAX_PIPELINED_REQUESTS = 32
 
+# Requests are parsed in parts of this size, so that few of them exceed the
+# number of pending ones.
+_PARSE_BYTES = 4096
+
+# Reading is paused while a connection has this many bytes that are not parsed.
+_MAX_UNPARSED_BYTES = 64 * 1024
+
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 
 # After its last response a connection is read for this long, until the client
@@ -70,7 +78,7 @@
 # A Content-Length with more digits is rejected without being converted.
 _MAX_CONTENT_LENGTH_DIGITS = 15
 
-# Unsent bytes of one connection above which reading is paused.
+# Unsent bytes of one connection above which no more requests are parsed.
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 
 _REASON_PHRASES = {
@@ -192,6 +200,10 @@
         # lose what it has not received yet.
         self.is_lingering = False
         self.is_write_paused = False
+        # Bytes that were read and not parsed, because the client has too many
+        # pending requests or does not read its responses. Reading goes on, as
+        # the close of the client could not be noticed otherwise.
+        self.unparsed = bytearray()
         self._reset()
 
     def _reset(self) -> None:
@@ -208,9 +220,20 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.connections.discard(self)
+        self._on_client_left()
+
+    def eof_received(self) -> None:
+        """Cancel the pending requests, and close the connection.
+
+        The transport closes it only when all that was written has been sent.
+        """
+        self._on_client_left()
+
+    def _on_client_left(self) -> None:
         self.is_closing = True
         self._cancel_handlers(CutReason.CLIENT_LEFT)
         self.exchanges.clear()
+        self.unparsed.clear()
 
     def cut_requests(self) -> None:
         """End the pending requests, and close after the last response.
@@ -240,29 +263,49 @@
                 exchange.task = None
 
     def pause_writing(self) -> None:
-        """Pause reading when the client is slow to read its responses."""
+        """Parse no more requests; the client is slow to read its responses."""
         self.is_write_paused = True
-        self._update_reading()
 
     def resume_writing(self) -> None:
-        """Resume reading when the client has caught up."""
+        """Go on parsing when the client has caught up."""
         self.is_write_paused = False
+        self._parse_requests()
+
+    def _may_parse(self) -> bool:
+        return not (
+            self.is_closing
+            or self.is_write_paused
+            or len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
+        )
+
+    def data_received(self, data: bytes) -> None:
+        if self.is_closing:
+            return
+        if self.unparsed or len(data) > _PARSE_BYTES or not self._may_parse():
+            self.unparsed += data
+            self._parse_requests()
+        else:
+            self._parse(data)
+
+    def _parse_requests(self) -> None:
+        """Parse received bytes as far as the pending requests allow it."""
+        while self.unparsed and self._may_parse():
+            part = bytes(self.unparsed[:_PARSE_BYTES])
+            del self.unparsed[:_PARSE_BYTES]
+            self._parse(part)
+        if self.is_closing:
+            self.unparsed.clear()
         self._update_reading()
 
     def _update_reading(self) -> None:
         if self.transport.is_closing():
             return
-        if (
-            self.is_write_paused
-            or len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
-        ):
+        if len(self.unparsed) > _MAX_UNPARSED_BYTES:
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
 
-    def data_received(self, data: bytes) -> None:
-        if self.is_closing:
-            return
+    def _parse(self, data: bytes) -> None:
         if not self.request_started_at:
             self.request_started_at = clock.recent()
         if self.is_in_headers:
@@ -363,8 +406,6 @@
         exchange.task = asyncio.get_running_loop().create_task(
             self._serve(exchange, request)
         )
-        if len(self.exchanges) >= _MAX_PIPELINED_REQUESTS:
-            self._update_reading()
 
     async def _serve(self, exchange: _Exchange, request: Request) -> None:
         self.listener.active_requests += 1
@@ -389,7 +430,6 @@
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
-        was_full = len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
         if self.listener.is_stopping:
             # Otherwise a client that always has a request pending would keep
             # the connection.
@@ -410,14 +450,15 @@
             if is_last:
                 self._linger()
                 return
-        if was_full:
-            self._update_reading()
+        if self.unparsed:
+            self._parse_requests()
 
     def _linger(self) -> None:
         """Send the end of the stream; ignore what still arrives."""
         self.is_closing = True
         self.is_lingering = True
         self.request_started_at = 0.0
+        self.unparsed.clear()
         # The client may have reset the connection.
         with contextlib.suppress(OSError):
             self.transport.write_eof()
@@ -440,10 +481,25 @@
             and not self.transport.get_write_buffer_size()
         )
 
+    def _is_left_unread(self) -> bool:
+        """Return whether the client has left while reading is paused."""
+        if self.transport.is_closing() or self.transport.is_reading():
+            return False
+        poll = select.poll()
+        client_socket = self.transport.get_extra_info('socket')
+        poll.register(client_socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     def check_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle or done, or headers are late."""
+        """Close the connection if it is idle or done, or headers are late.
+
+        A client that leaves while reading is paused is noticed here, too.
+        """
         limits = self.listener.limits
-        if self.is_lingering:
+        if self._is_left_unread():
+            self._on_client_left()
+            self.transport.abort()
+        elif self.is_lingering:
             if self._has_lingered(now):
                 self.transport.close()
         elif self.request_started_at:
--- /dev/null
+++ b/tests/listener/test_clients_that_leave.py
@@ -0,0 +1,180 @@
+"""Clients that close their connection before their requests are answered.
+
+Nobody receives the answers, so the requests must not go on to an upstream.
+"""
+
+import asyncio
+import collections.abc
+import socket
+import struct
+
+import pytest
+
+from godwitstall import http_listener
+from tests.listener import connections
+
+_TIMEOUT_S = 10.0
+_GET = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+
+# More than the socket buffers of both sides hold.
+_LARGE_BODY = b'x' * 20_000_000
+
+
+class _Handler:
+    """Holds all requests until they are cancelled."""
+
+    def __init__(self) -> None:
+        self.started = 0
+        self.cancelled = 0
+
+    async def serve(
+        self, request: http_listener.Request
+    ) -> http_listener.Response:
+        self.started += 1
+        try:
+            await asyncio.sleep(_TIMEOUT_S * 2)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        return http_listener.Response(200)
+
+
+async def _until(condition: collections.abc.Callable[[], bool]) -> None:
+    async with asyncio.timeout(_TIMEOUT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection at once, without sending what is buffered."""
+    writer.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    writer.transport.abort()
+
+
+@pytest.mark.parametrize('request_count', [1, 31, 32, 36, 400])
+def test_close_is_noticed_behind_any_number_of_pipelined_requests(
+    request_count: int,
+) -> None:
+    """Guards against requests that run on after their client has left.
+
+    A connection with many pending requests is not read further, but the close
+    has to be noticed all the same.
+    """
+
+    async def scenario() -> None:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            _, writer = await connections.connect(address)
+            writer.write(_GET * request_count)
+            await _until(lambda: handler.started >= min(request_count, 32))
+            writer.close()
+            await _until(lambda: not listener.connections)
+            await _until(lambda: handler.cancelled == handler.started)
+
+    asyncio.run(scenario())
+
+
+def test_close_is_noticed_while_reading_is_paused() -> None:
+    """Guards against requests that run on when their client has left.
+
+    It has sent more than the listener reads ahead, and resets the connection.
+    """
+
+    async def scenario() -> None:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            _, writer = await connections.connect(address)
+            writer.write(_GET * 400_000)
+            await _until(lambda: handler.started >= 32)
+            (connection,) = listener.connections
+            await _until(lambda: not connection.transport.is_reading())
+            _reset(writer)
+            await _until(lambda: handler.cancelled == handler.started)
+
+    asyncio.run(scenario())
+
+
+def test_close_is_noticed_while_a_response_is_not_read() -> None:
+    """Guards against a request that runs on behind an unread response.
+
+    The client sends no more, but its end of the stream comes before the
+    response in front of the request has been sent.
+    """
+
+    async def scenario() -> None:
+        handler = _Handler()
+
+        async def serve(
+            request: http_listener.Request,
+        ) -> http_listener.Response:
+            if request.target == '/large':
+                return http_listener.Response(200, [], _LARGE_BODY)
+            return await handler.serve(request)
+
+        async with connections.listening(serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(b'GET /large HTTP/1.1\r\nhost: a\r\n\r\n' + _GET)
+            await _until(lambda: handler.started == 1)
+            (connection,) = listener.connections
+            await _until(lambda: connection.is_write_paused)
+            writer.write_eof()
+            await _until(lambda: handler.cancelled == 1)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_requests_that_wait_unread_are_served_in_order() -> None:
+    """Guards against held requests that are lost or served out of order."""
+
+    async def scenario() -> None:
+        is_released = asyncio.Event()
+        started: list[str] = []
+
+        async def serve(
+            request: http_listener.Request,
+        ) -> http_listener.Response:
+            started.append(request.target)
+            await is_released.wait()
+            return http_listener.Response(200, [], request.target.encode())
+
+        async with connections.listening(serve) as (_, address):
+            reader, writer = await connections.connect(address)
+            targets = [f'/{number:05}' for number in range(2000)]
+            for target in targets:
+                writer.write(
+                    f'GET {target} HTTP/1.1\r\nhost: a\r\n\r\n'.encode()
+                )
+            await _until(lambda: len(started) >= 32)
+            started_before = len(started)
+            is_released.set()
+            async with asyncio.timeout(_TIMEOUT_S):
+                for target in targets:
+                    body = await reader.readuntil(target.encode())
+                    assert body.startswith(b'HTTP/1.1 200 OK')
+            writer.close()
+        assert started == targets
+        assert started_before < len(targets) / 4
+
+    asyncio.run(scenario())
+
+
+def test_requests_that_wait_unread_are_bounded() -> None:
+    """Guards against a client that fills the memory by pipelining."""
+
+    async def scenario() -> None:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            _, writer = await connections.connect(address)
+            writer.write(_GET * 400_000)
+            await _until(lambda: handler.started >= 32)
+            (connection,) = listener.connections
+            await _until(lambda: not connection.transport.is_reading())
+            # One read of the event loop may exceed the limit.
+            assert len(connection.unparsed) < 1_000_000
+            assert handler.started < 400
+            writer.transport.abort()
+
+    asyncio.run(scenario())
