Do not time out headers that the listener itself holds back

What callers saw: 408 and a closed connection for a request whose headers had come in time, on a connection with 32 pending requests.

Cause: the time of the headers ran on while the listener did not parse.

Change: the time starts again for as long as requests are not parsed.

Evidence: the new test got 408 for the 33rd request before, and 200 now.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -503,7 +503,10 @@
             if self._has_lingered(now):
                 self.transport.close()
         elif self.request_started_at:
-            if self.is_in_headers and (
+            if not self._may_parse():
+                # The rest of the headers may have arrived.
+                self.request_started_at = now
+            elif self.is_in_headers and (
                 now - self.request_started_at > limits.header_timeout_s
             ):
                 self.reject(408)
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -170,6 +170,38 @@
     asyncio.run(scenario())
 
 
+def test_headers_that_wait_unread_do_not_time_out() -> None:
+    """Guards against 408 for headers that the listener itself holds back."""
+
+    async def scenario() -> None:
+        is_released = asyncio.Event()
+
+        async def serve(
+            request: http_listener.Request,
+        ) -> http_listener.Response:
+            await is_released.wait()
+            return http_listener.Response(200)
+
+        async with connections.listening(serve) as (listener, address):
+            listener.limits.header_timeout_s = 0.1
+            get = b'GET / HTTP/1.1\r\nhost: a\r\n\r\n'
+            reader, writer = await connections.connect(address)
+            writer.write(get * 32 + get[:10])
+            while listener.active_requests < 32:
+                await asyncio.sleep(0.01)
+            writer.write(get[10:])
+            # Longer than the timeout, and than the interval of its checks.
+            await asyncio.sleep(0.8)
+            is_released.set()
+            async with asyncio.timeout(_TIMEOUT_S):
+                for _ in range(33):
+                    head = await reader.readuntil(b'\r\n\r\n')
+                    assert head.startswith(b'HTTP/1.1 200 ')
+            writer.close()
+
+    asyncio.run(scenario())
+
+
 def test_idle_connection_is_closed_without_an_answer() -> None:
     """Guards against idle connections that are never closed."""
 
