Do not pass on requests that are read after their clients have left

What callers saw: requests that reached an upstream long after their clients had left, since the node had not read them in time (GONE).

Cause: a loop that is late reads a request and, only with a later poll, the end of the stream behind it. By then the handler has sent the request on.

Change: after more than 0.1 s between two polls the event loop counts as late for as long again, at most 1 s; a request that is read then waits for 1 ms, in which the close behind it is read and cancels its handler.

--- a/godwitstall/event_loop.py
+++ b/godwitstall/event_loop.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import collections.abc
+import math
 import selectors
 import typing
 
@@ -20,9 +21,45 @@
 # event is delayed by at most as many.
 _ITERATIONS_PER_POLL = 4
 
+# The loop is late when this much time passes between two polls.
+_LATE_AFTER_S = 0.1
+
+# Longest time for which the loop is late after a delay between two polls.
+_MAX_LATE_S = 1.0
+
 _Events = list[tuple[selectors.SelectorKey, int]]
 
 
+class _Lateness:
+    """Whether events may have waited for the running loop."""
+
+    def __init__(self) -> None:
+        # Time of the last poll and time until which the loop is late, seconds
+        # of clock.now().
+        self.polled_at = math.inf
+        self.late_until = 0.0
+
+    def on_poll(self, now: float) -> None:
+        """Record that the loop is about to poll its selector."""
+        delay_s = now - self.polled_at
+        if delay_s > _LATE_AFTER_S:
+            # An event that takes several polls, such as the first bytes of a
+            # new connection, may have waited as well.
+            self.late_until = now + min(delay_s, _MAX_LATE_S)
+
+
+_lateness = _Lateness()
+
+
+def is_late() -> bool:
+    """Return whether what the loop reads now may have waited to be read.
+
+    A peer may have sent more since, or may have closed its connection. Always
+    False in a loop that is not a Loop.
+    """
+    return clock.recent() < _lateness.late_until
+
+
 class PollSkippingSelector(selectors.EpollSelector):
     """A selector that skips most polls with a timeout of 0."""
 
@@ -32,6 +69,8 @@
         self.skipped_polls = 0
         # Whether the loop has not read the time since select() returned.
         self.is_after_select = False
+        # The time before the first poll does not count.
+        _lateness.polled_at = math.inf
 
     def select(self, timeout: float | None = None) -> _Events:
         """Return events; most polls with a timeout of 0 are skipped."""
@@ -41,8 +80,10 @@
             if self.skipped_polls < _ITERATIONS_PER_POLL:
                 return []
         self.skipped_polls = 0
+        _lateness.on_poll(clock.now())
         events = super().select(timeout)
         clock.invalidate_cache()
+        _lateness.polled_at = clock.recent()
         return events
 
 
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -29,6 +29,7 @@
 
 from godwitstall import clock
 from godwitstall import errors
+from godwitstall import event_loop
 from godwitstall import link
 from godwitstall import logs
 from godwitstall import metrics
@@ -69,6 +70,10 @@
 # responses.
 _DELIVERY_TIME_S = 0.2
 
+# Time in which the close of a client is read behind a request that has waited
+# to be read.
+_LATE_CLOSE_WAIT_S = 0.001
+
 # Interval at which a graceful close checks for pending requests.
 _CLOSE_POLL_INTERVAL_S = 0.02
 
@@ -404,12 +409,17 @@
             self.is_closing = True
         self.exchanges.append(exchange)
         exchange.task = asyncio.get_running_loop().create_task(
-            self._serve(exchange, request)
+            self._serve(exchange, request, event_loop.is_late())
         )
 
-    async def _serve(self, exchange: _Exchange, request: Request) -> None:
+    async def _serve(
+        self, exchange: _Exchange, request: Request, is_read_late: bool
+    ) -> None:
         self.listener.active_requests += 1
         try:
+            if is_read_late:
+                # The client may have left, which cancels this task.
+                await asyncio.sleep(_LATE_CLOSE_WAIT_S)
             response = await self.handler(request)
         except Exception:
             _LOG.exception('Unexpected error while serving a request.')
--- a/tests/listener/test_clients_that_leave.py
+++ b/tests/listener/test_clients_that_leave.py
@@ -7,9 +7,11 @@
 import collections.abc
 import socket
 import struct
+import time
 
 import pytest
 
+from godwitstall import event_loop
 from godwitstall import http_listener
 from tests.listener import connections
 
@@ -178,3 +180,25 @@
             writer.transport.abort()
 
     asyncio.run(scenario())
+
+
+def test_request_that_is_read_after_its_client_has_left_is_not_served() -> (
+    None
+):
+    """Guards against stale requests that a late event loop passes on."""
+
+    async def scenario() -> None:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            for _ in range(5):
+                _, writer = await connections.connect(address)
+                await _until(lambda: len(listener.connections) == 1)
+                writer.write(_GET)
+                writer.close()
+                # The event loop is late: it reads the request only now.
+                time.sleep(0.2)
+                await _until(lambda: not listener.connections)
+        assert handler.started == 0
+
+    with asyncio.Runner(loop_factory=event_loop.new_loop) as runner:
+        runner.run(scenario())
