--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -26,7 +26,7 @@
 from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall import errors
-from godwitstall import http_server
+from godwitstall import http_listener
 from godwitstall import link as link_module
 from godwitstall import messages
 from loadtool import addresses
@@ -120,7 +120,7 @@
         self.announcer: asyncio.Task[None] | None = None
         # Without stand-ins, this server answers the probes of all nodes.
         self.health_address = addresses.free_address()
-        self.health_server = http_server.HttpServer(
+        self.health_server = http_listener.Listener(
             {self.health_address: _answer_probe}
         )
         self.services = services
@@ -312,7 +312,7 @@
         """Kill all processes of this fleet and wait for their exit."""
         if self.announcer is not None:
             self.announcer.cancel()
-        await self.health_server.stop(0.0)
+        await self.health_server.close()
         for process in self.processes.values():
             if process.returncode is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -460,11 +460,10 @@
 
 
 async def _answer_probe(
-    scope: typing.Any, receive: typing.Any, send: typing.Any
-) -> None:
-    del scope, receive
-    await send({'type': 'http.response.start', 'status': 200, 'headers': []})
-    await send({'type': 'http.response.body', 'body': b''})
+    request: http_listener.Request,
+) -> http_listener.Response:
+    del request
+    return http_listener.Response(200)
 
 
 async def _ignore_message(message: messages.Message) -> None:
--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -10,17 +10,17 @@
 import pathlib
 import signal
 import sys
-import typing
 
 from absl import flags
 
 from godwitstall import admin
+from godwitstall import asgi
 from godwitstall import command_line
 from godwitstall.consensus import storage
 from godwitstall.control import process as process_module
 from godwitstall import errors
 from godwitstall import event_loop
-from godwitstall import http_server
+from godwitstall import http_listener
 from godwitstall import logs
 from godwitstall import settings
 
@@ -56,19 +56,21 @@
     such as a full disk is the cause.
     """
     process = process_module.Process.from_config(options, fleet)
-    admin_app = admin.create_app(
-        process.service.dump, lambda: process.replica.leader_slot is not None
+    serve_admin = asgi.handler(
+        admin.create_app(
+            process.service.dump,
+            lambda: process.replica.leader_slot is not None,
+        )
     )
-    apps: dict[str, typing.Any] = {options.admin_address: admin_app}
+    listener = http_listener.Listener({options.admin_address: serve_admin})
     if options.metrics_address:
-        apps[options.metrics_address] = admin_app
-    server = http_server.HttpServer(apps)
+        listener.handlers[options.metrics_address] = serve_admin
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
     await process.start(fleet.control[options.slot])
-    await server.start()
+    await listener.start()
     # As in the node: otherwise a full collection blocks the event loop for
     # 34 ms.
     gc.collect()
@@ -77,7 +79,7 @@
     try:
         await process.stop()
     finally:
-        await server.stop(_ADMIN_STOP_TIMEOUT_S)
+        await listener.close_gracefully(_ADMIN_STOP_TIMEOUT_S)
 
 
 def main() -> None:
--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -65,6 +65,7 @@
     BAD_MESSAGE = 33
     CHAIN_OVERLOADED = 34
     CUT_BY_STOP = 35
+    HEADERS_LATE = 36
 
     # Enum.__hash__ is a Python function, which is slow for the table lookups
     # of each response.
@@ -102,6 +103,9 @@
     ErrorKind.HEADERS_TOO_LARGE: AnswerRule(
         431, _NOT_RUN, False, 'The request headers are too large.'
     ),
+    ErrorKind.HEADERS_LATE: AnswerRule(
+        408, _NOT_RUN, False, 'The request headers were not sent in time.'
+    ),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(
         413, _NOT_RUN, False, 'The request body is too large.'
     ),
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -46,11 +46,8 @@
 # Connections that the kernel queues until the event loop accepts them.
 _BACKLOG = 2048
 
-# No more requests are parsed while a connection has this many pending ones.
-_MAX_PIPELINED_REQUESTS = 32
-
-# Requests are parsed in parts of this size, so that few of them exceed the
-# number of pending ones.
+# Requests are parsed in parts of this size, so that few of them have to wait
+# for their handlers.
 _PARSE_BYTES = 4096
 
 # Reading is paused while a connection has this many bytes that are not parsed.
@@ -86,6 +83,8 @@
 # Unsent bytes of one connection above which no more requests are parsed.
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 
+_HTTP_VERSIONS = frozenset(('1.0', '1.1'))
+
 _REASON_PHRASES = {
     status.value: status.phrase.encode() for status in http.HTTPStatus
 }
@@ -115,6 +114,9 @@
     header_timeout_s: float = 10.0
     # Time after which a connection without requests is closed.
     idle_timeout_s: float = 75.0
+    # Number of requests of one connection that are handled at the same time.
+    # No more are parsed while as many are pending.
+    max_pipelined_requests: int = 32
 
 
 @dataclasses.dataclass(slots=True)
@@ -170,6 +172,8 @@
 class _Exchange:
     """A request and its response."""
 
+    # None for an invalid request, and once the handler has been started.
+    request: Request | None = None
     # None until the handler has returned or the request has been cut.
     response: Response | None = None
     # Whether the client asked to close the connection after the response.
@@ -249,10 +253,12 @@
         self.is_closing = True
         self._cancel_handlers(CutReason.LISTENER_CLOSED)
         for exchange in self.exchanges:
-            if exchange.response is None:
-                exchange.response = self.listener.respond_to_error(
-                    errors.ErrorKind.CUT_BY_STOP
-                )
+            if exchange.response is not None:
+                continue
+            kind = errors.ErrorKind.CUT_BY_STOP
+            if exchange.request is not None:
+                kind = errors.ErrorKind.STOPPING
+            exchange.response = self.listener.respond_to_error(kind)
         self._flush()
 
     def close(self) -> None:
@@ -280,7 +286,8 @@
         return not (
             self.is_closing
             or self.is_write_paused
-            or len(self.exchanges) >= _MAX_PIPELINED_REQUESTS
+            or len(self.exchanges)
+            >= self.listener.limits.max_pipelined_requests
         )
 
     def data_received(self, data: bytes) -> None:
@@ -320,25 +327,29 @@
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.reject(400)
+            # Its request closes the connection.
+            pass
         except httptools.HttpParserError as e:
             if not self.is_closing:
                 _LOG.info('Bad request: %s.', e)
-                self.reject(400)
+                self.reject(errors.ErrorKind.BAD_REQUEST)
         if self.is_in_headers and self.header_bytes > (
             self.listener.limits.max_header_bytes
         ):
-            self.reject(431)
+            self.reject(errors.ErrorKind.HEADERS_TOO_LARGE)
+
+    def reject(self, kind: errors.ErrorKind) -> None:
+        """Send an error response to an invalid request and close.
 
-    def reject(self, status: int) -> None:
-        """Send an error response to an invalid request and close."""
+        The requests before it are answered first.
+        """
         if self.is_closing:
             return
-        _BAD_REQUESTS.inc(status=str(status))
-        self.is_closing = True
+        response = self.listener.respond_to_error(kind)
+        _BAD_REQUESTS.inc(status=str(response.status))
         exchange = _Exchange(closes_connection=True)
         self.exchanges.append(exchange)
-        self._complete(exchange, Response(status, closes_connection=True))
+        self._complete(exchange, response)
 
     # Callbacks of httptools.HttpRequestParser.
 
@@ -360,28 +371,77 @@
 
     def on_headers_complete(self) -> None:
         self.is_in_headers = False
+        if self.is_closing:
+            return
+        self._use_origin_form()
+        problem = self._find_problem()
+        if problem is not None:
+            self.reject(problem)
+        elif self._expects_continue() and not self.exchanges:
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def _use_origin_form(self) -> None:
+        """Split an absolute URL, as proxies get it, into host and path."""
+        if self.url.startswith(b'/') or self.url == b'*':
+            return
+        try:
+            url = httptools.parse_url(self.url)
+        except httptools.HttpParserInvalidURLError:
+            self.url = b''
+            return
+        self.url = url.path or b''
+        if url.query:
+            self.url += b'?' + url.query
+        if url.host:
+            # It replaces the header (RFC 9112, section 3.2.2).
+            host = url.host + (b':%d' % url.port if url.port else b'')
+            headers = [(n, v) for n, v in self.headers if n != b'host']
+            self.headers = [(b'host', host), *headers]
+
+    def _find_problem(self) -> errors.ErrorKind | None:
+        """Return why the request cannot be served, None if it can."""
         limits = self.listener.limits
         header_size = len(self.url)
         host_count = 0
+        has_body = False
         for name, value in self.headers:
             header_size += len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
             if name == b'host':
                 host_count += 1
-            elif name == b'content-length' and (
-                len(value) > _MAX_CONTENT_LENGTH_DIGITS
-                or int(value) > limits.max_body_bytes
-            ):
-                self.reject(413)
+            elif name == b'transfer-encoding':
+                has_body = True
+            elif name == b'content-length':
+                has_body = has_body or value != b'0'
+                if (
+                    len(value) > _MAX_CONTENT_LENGTH_DIGITS
+                    or int(value) > limits.max_body_bytes
+                ):
+                    return errors.ErrorKind.BODY_TOO_LARGE
         if header_size > limits.max_header_bytes:
-            self.reject(431)
-        elif host_count > 1:
+            return errors.ErrorKind.HEADERS_TOO_LARGE
+        if (
             # Another server on the path could use a different one of them.
-            self.reject(400)
+            host_count > 1
+            or not self.url
+            or not self.url.isascii()
+            or self.parser.get_http_version() not in _HTTP_VERSIONS
+            or self.parser.get_method() == b'CONNECT'
+            # The parser does not read the body of such a request.
+            or (has_body and self.parser.should_upgrade())
+        ):
+            return errors.ErrorKind.BAD_REQUEST
+        return None
+
+    def _expects_continue(self) -> bool:
+        return any(
+            name == b'expect' and value.lower() == b'100-continue'
+            for name, value in self.headers
+        )
 
     def on_body(self, body: bytes) -> None:
         self.body_bytes += len(body)
         if self.body_bytes > self.listener.limits.max_body_bytes:
-            self.reject(413)
+            self.reject(errors.ErrorKind.BODY_TOO_LARGE)
             self.body.clear()
         elif not self.is_closing:
             self.body.append(body)
@@ -392,6 +452,7 @@
         self.header_bytes = 0
         if self.is_closing:
             return
+        limits = self.listener.limits
         method = self.parser.get_method().decode('ascii', 'replace')
         request = Request(
             method,
@@ -402,15 +463,35 @@
         )
         self.body = []
         exchange = _Exchange(
-            closes_connection=not self.parser.should_keep_alive(),
+            request,
+            # The listener supports no other protocol, and the parser reads
+            # nothing behind an upgrade request.
+            closes_connection=(
+                self.parser.should_upgrade()
+                or not self.parser.should_keep_alive()
+            ),
             is_head=method == 'HEAD',
         )
         if exchange.closes_connection:
             self.is_closing = True
         self.exchanges.append(exchange)
+        if len(self.exchanges) <= limits.max_pipelined_requests:
+            self._start_handler(exchange)
+
+    def _start_handler(self, exchange: _Exchange) -> None:
+        assert exchange.request is not None
         exchange.task = asyncio.get_running_loop().create_task(
-            self._serve(exchange, request, event_loop.is_late())
+            self._serve(exchange, exchange.request, event_loop.is_late())
         )
+        exchange.request = None
+
+    def _start_waiting_handler(self) -> None:
+        """Start the handler of the first request that waits for others."""
+        last = self.listener.limits.max_pipelined_requests - 1
+        if len(self.exchanges) > last:
+            exchange = self.exchanges[last]
+            if exchange.request is not None:
+                self._start_handler(exchange)
 
     async def _serve(
         self, exchange: _Exchange, request: Request, is_read_late: bool
@@ -460,6 +541,7 @@
             if is_last:
                 self._linger()
                 return
+            self._start_waiting_handler()
         if self.unparsed:
             self._parse_requests()
 
@@ -519,7 +601,7 @@
             elif self.is_in_headers and (
                 now - self.request_started_at > limits.header_timeout_s
             ):
-                self.reject(408)
+                self.reject(errors.ErrorKind.HEADERS_LATE)
         elif not self.exchanges and (
             now - self.last_active_at > limits.idle_timeout_s
         ):
@@ -538,7 +620,9 @@
         b'%s: %s\r\n' % (name, value) for name, value in response.headers
     ]
     parts.append(response.encoded_headers)
-    if status not in _BODILESS_STATUSES:
+    # The length of the body that GET would return is unknown.
+    is_length_known = not is_head or response.body
+    if status not in _BODILESS_STATUSES and is_length_known:
         parts.append(b'content-length: %d\r\n' % len(response.body))
     if closes_connection:
         parts.append(b'connection: close\r\n')
@@ -567,6 +651,8 @@
         self.is_stopping = False
         self.connections: set[_Connection] = set()
         self.servers: dict[str, asyncio.Server] = {}
+        # The listening sockets of the servers.
+        self.sockets: dict[str, socket.socket] = {}
         self.timeout_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -574,18 +660,18 @@
 
         Errors: OSError when an address is not available.
         """
-        loop = asyncio.get_running_loop()
         for address, handler in self.handlers.items():
-            host, port = link.split_address(address)
-            self.servers[address] = await loop.create_server(
-                lambda handler=handler: _Connection(self, handler),
-                host,
-                port,
-                backlog=_BACKLOG,
-                family=socket.AF_INET6 if ':' in host else socket.AF_INET,
-            )
+            self.sockets[address] = _bind(address)
+            self.servers[address] = await self._listen(address, handler)
         self.timeout_task = asyncio.create_task(self._check_timeouts())
 
+    async def _listen(self, address: str, handler: Handler) -> asyncio.Server:
+        return await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self, handler),
+            sock=self.sockets[address],
+            backlog=_BACKLOG,
+        )
+
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(_TIMEOUT_CHECK_INTERVAL_S)
@@ -593,27 +679,47 @@
             for connection in list(self.connections):
                 connection.check_timeouts(now)
 
-    def stop_accepting(self, address: str) -> None:
+    def is_accepting(self, address: str) -> bool:
+        """Return whether connections to an address are accepted."""
+        return self.servers[address].is_serving()
+
+    async def stop_accepting(self, address: str) -> None:
         """Close the listening socket of an address, not its connections."""
-        self.servers[address].close()
+        await self._close_listening_sockets([address])
 
-    async def _stop_listening(self) -> None:
-        """Close the listening sockets.
+    async def _close_listening_sockets(
+        self, addresses: collections.abc.Iterable[str]
+    ) -> None:
+        """Close listening sockets; accept all that clients have opened.
 
         If asyncio.Server is closed between the accept() of a connection and
         its registration with the server, Python 3.11 leaves the connection
         open and never reads it. Accepting therefore stops two loop iterations
         earlier: one for an accept() that was already scheduled, and one for
-        the registration.
+        the registration. Connections that the kernel has queued are accepted
+        here, since the close of the socket would reset them.
         """
         loop = asyncio.get_running_loop()
-        for server in self.servers.values():
-            for listening_socket in server.sockets:
-                loop.remove_reader(listening_socket.fileno())
+        open_addresses = [a for a in addresses if self.is_accepting(a)]
+        for address in open_addresses:
+            loop.remove_reader(self.sockets[address].fileno())
         for _ in range(2):
             await asyncio.sleep(0)
-        for server in self.servers.values():
-            server.close()
+        for address in open_addresses:
+            accepted = list(_accept_queued(self.sockets[address]))
+            self.servers[address].close()
+            for accepted_socket in accepted:
+                await self._serve_connection(address, accepted_socket)
+
+    async def _serve_connection(
+        self, address: str, accepted_socket: socket.socket
+    ) -> None:
+        # The client may have reset the connection.
+        with contextlib.suppress(OSError):
+            await asyncio.get_running_loop().connect_accepted_socket(
+                lambda: _Connection(self, self.handlers[address]),
+                accepted_socket,
+            )
 
     async def close_gracefully(self, timeout_s: float) -> None:
         """Stop listening, finish the pending requests, and close.
@@ -622,7 +728,7 @@
         have a short time to read their responses.
         """
         self.is_stopping = True
-        await self._stop_listening()
+        await self._close_listening_sockets(list(self.servers))
         deadline = clock.recent() + timeout_s
         # Nothing has been read yet from connections accepted just now.
         await asyncio.sleep(_FIRST_READ_WAIT_S)
@@ -648,10 +754,40 @@
 
         Pending requests are cut.
         """
-        await self._stop_listening()
+        await self._close_listening_sockets(list(self.servers))
         if self.timeout_task is not None:
             self.timeout_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.timeout_task
         for connection in list(self.connections):
             connection.close()
+
+
+def _bind(address: str) -> socket.socket:
+    host, port = link.split_address(address)
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    # asyncio disables Nagle's algorithm only on sockets created with
+    # IPPROTO_TCP. The algorithm delays the body of a response by 40 ms, until
+    # the delayed ACK of the peer.
+    listening_socket = socket.socket(
+        family, socket.SOCK_STREAM, socket.IPPROTO_TCP
+    )
+    listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        listening_socket.bind((host, port))
+    except OSError as e:
+        listening_socket.close()
+        raise OSError(f'Cannot listen on {address}: {e.strerror}.') from e
+    return listening_socket
+
+
+def _accept_queued(
+    listening_socket: socket.socket,
+) -> collections.abc.Iterator[socket.socket]:
+    """Accept the connections that the kernel has queued."""
+    # None is left, or a client has reset its connection.
+    with contextlib.suppress(OSError):
+        while True:
+            accepted_socket, _ = listening_socket.accept()
+            accepted_socket.setblocking(False)
+            yield accepted_socket
--- a/godwitstall/logs.py
+++ b/godwitstall/logs.py
@@ -65,7 +65,7 @@
     root.propagate = False
     root.setLevel(level)
     # The HTTP libraries log every start and request at INFO.
-    for library in ('uvicorn', 'httpx', 'httpcore'):
+    for library in ('httpx', 'httpcore'):
         logging.getLogger(library).setLevel(logging.WARNING)
     for part, part_level in part_levels.items():
         get(part).setLevel(part_level)
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -1,24 +1,22 @@
 """Serves HTTP requests of callers and onward calls of the own upstream.
 
-Each of the two has an ASGI application. The one for callers determines the
-workspace by the key and takes a rate token. The one for the upstream
+Each of the two has a handler. The one for callers determines the workspace by
+the key and takes a rate token. The one for the upstream
 determines the workspace by the context of the request that the upstream is
 running. Both then pass the call to the relay, which sends it to an owner and
 retries it elsewhere only if that is safe.
 """
 
-import asyncio
 import collections.abc
 import dataclasses
 import hashlib
 import json
 import re
-import typing
 import uuid
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import logs
+from godwitstall import http_listener
 from godwitstall import messages
 from godwitstall import metrics
 from godwitstall.node import announcements
@@ -35,21 +33,16 @@
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
-_LOG = logs.get('entry')
 _REQUESTS = metrics.counter(
     'requests_total', 'Requests by workspace and error kind.'
 )
 
-# Delay before a request is watched for a disconnect of its caller, seconds.
-# Watching takes a task, and most requests end before the delay.
-_WATCH_DELAY_S = 0.01
-
-_ANNOUNCE_PATH = b'/announce'
+_ANNOUNCE_PATH = '/announce'
 
 # Paths that an upstream could resolve differently from the route table: those
 # with dot segments, empty segments, or encoded slashes or dots. Some servers
 # remove a parameter such as ';x' from a segment before they resolve it.
-_UNSAFE_PATH = re.compile(rb'//|/\.{1,2}(/|;|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
+_UNSAFE_PATH = re.compile(r'//|/\.{1,2}(/|;|$)|%2f|%2e|%5c|\\', re.IGNORECASE)
 
 _UUID_VERSION = 7
 
@@ -59,12 +52,8 @@
 # Attempts of a chain in pass-through mode, which comparison runs use.
 _UNBOUNDED_ATTEMPTS = 1_000_000
 
-Scope = dict[str, typing.Any]
-Receive = collections.abc.Callable[
-    [], collections.abc.Awaitable[dict[str, typing.Any]]
-]
-Send = collections.abc.Callable[
-    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+_Admission = collections.abc.Callable[
+    ['Request'], collections.abc.Awaitable[messages.Answer]
 ]
 
 
@@ -85,6 +74,27 @@
     # Time at which the request was complete, seconds of clock.now().
     received_at: float
 
+    @classmethod
+    def from_http(cls, request: http_listener.Request) -> 'Request':
+        """Return the request that a listener has received.
+
+        Errors: RequestError of kind BAD_REQUEST if its path is unsafe.
+        """
+        path = request.target.partition('?')[0]
+        if not path.startswith('/') or _UNSAFE_PATH.search(path):
+            raise errors.RequestError(
+                errors.ErrorKind.BAD_REQUEST,
+                'The path must have no empty, dot or encoded segments.',
+            )
+        return cls(
+            request.method,
+            path,
+            request.target,
+            request.headers,
+            request.body,
+            clock.now(),
+        )
+
     def header(self, name: bytes) -> str:
         """Return a header as text, empty if it is absent.
 
@@ -119,7 +129,7 @@
 
 
 class Entry:
-    """Provides the applications of the caller and upstream listeners."""
+    """Provides the handlers of the caller and upstream listeners."""
 
     def __init__(
         self,
@@ -142,96 +152,34 @@
         self.upstream = upstream
         self.sender = sender
         self.planned_stop = planned_stop
-        # Whether answers ask callers to close their connections.
-        self.is_stopping = False
-        # Number of requests inside the applications.
+        # Number of requests inside the handlers.
         self.active = 0
 
-    async def caller_app(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """ASGI application for callers."""
-        await self._serve(scope, receive, send, self._admit_caller)
+    async def serve_caller(
+        self, request: http_listener.Request
+    ) -> http_listener.Response:
+        """Serve a request of a caller."""
+        return await self._serve(request, self._admit_caller)
 
-    async def upstream_app(
-        self, scope: Scope, receive: Receive, send: Send
-    ) -> None:
-        """ASGI application for the node's own upstream."""
-        if scope.get('raw_path') == _ANNOUNCE_PATH:
-            await self._serve(scope, receive, send, self._handle_announcement)
-            return
-        await self._serve(scope, receive, send, self._admit_onward)
+    async def serve_upstream(
+        self, request: http_listener.Request
+    ) -> http_listener.Response:
+        """Serve an announcement or onward call of the node's own upstream."""
+        if request.target.partition('?')[0] == _ANNOUNCE_PATH:
+            return await self._serve(request, self._handle_announcement)
+        return await self._serve(request, self._admit_onward)
 
     async def _serve(
-        self,
-        scope: Scope,
-        receive: Receive,
-        send: Send,
-        handle: collections.abc.Callable[
-            [Request], collections.abc.Awaitable[messages.Answer]
-        ],
-    ) -> None:
-        if scope['type'] != 'http':
-            return
+        self, request: http_listener.Request, admit: _Admission
+    ) -> http_listener.Response:
         self.active += 1
-        watcher = _DisconnectWatcher(receive)
         try:
-            request = await self._read(scope, receive)
-            watcher.start()
-            answer = await handle(request)
+            answer = await admit(Request.from_http(request))
         except errors.RequestError as e:
             answer = dispatch.error_answer(e)
-        except _CallerDisconnected:
-            return
-        except asyncio.CancelledError:
-            if watcher.has_disconnected:
-                # The caller disconnected, so there is nobody to answer.
-                return
-            raise
-        except Exception:
-            _LOG.exception('Unexpected error while serving a request.')
-            answer = dispatch.error_answer(
-                errors.RequestError(errors.ErrorKind.INTERNAL)
-            )
         finally:
-            watcher.stop()
             self.active -= 1
-        await self._respond(send, answer, scope['method'])
-
-    async def _read(self, scope: Scope, receive: Receive) -> Request:
-        raw_path: bytes = scope['raw_path']
-        query: bytes = scope['query_string']
-        body = b''
-        has_more = True
-        while has_more:
-            event = await receive()
-            if event['type'] == 'http.disconnect':
-                raise _CallerDisconnected()
-            body += event.get('body', b'')
-            has_more = event.get('more_body', False)
-            if len(body) > self.options.max_body_bytes:
-                raise errors.RequestError(
-                    errors.ErrorKind.BODY_TOO_LARGE,
-                    f'The body exceeds {self.options.max_body_bytes} bytes.',
-                )
-        if not raw_path.isascii() or not query.isascii():
-            raise errors.RequestError(
-                errors.ErrorKind.BAD_REQUEST, 'The path must be ASCII.'
-            )
-        if not raw_path.startswith(b'/') or _UNSAFE_PATH.search(raw_path):
-            raise errors.RequestError(
-                errors.ErrorKind.BAD_REQUEST,
-                'The path must have no empty, dot or encoded segments.',
-            )
-        target = raw_path + b'?' + query if query else raw_path
-        return Request(
-            scope['method'],
-            raw_path.decode(),
-            target.decode(),
-            scope['headers'],
-            body,
-            clock.now(),
-        )
+        return build_response(answer)
 
     async def _handle_announcement(self, request: Request) -> messages.Answer:
         if request.method != 'POST':
@@ -407,62 +355,6 @@
             fingerprint=fingerprint(workspace, request),
         )
 
-    async def _respond(
-        self, send: Send, answer: messages.Answer, method: str
-    ) -> None:
-        pairs, body = response_parts(answer, method)
-        if self.is_stopping:
-            pairs.append((b'connection', b'close'))
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': answer.status,
-                'headers': pairs,
-            }
-        )
-        await send({'type': 'http.response.body', 'body': body})
-
-
-class _CallerDisconnected(Exception):
-    """The caller disconnected before its request was complete."""
-
-
-class _DisconnectWatcher:
-    """Cancels the task of a request when its caller disconnects."""
-
-    def __init__(self, receive: Receive) -> None:
-        self.receive = receive
-        # Whether the caller disconnected while its request was served.
-        self.has_disconnected = False
-        self.watch_task: asyncio.Task[None] | None = None
-        self.timer: asyncio.TimerHandle | None = None
-        self.request_task: asyncio.Task[typing.Any] | None = None
-
-    def start(self) -> None:
-        """Start the watch after a delay, since most requests end sooner."""
-        self.request_task = asyncio.current_task()
-        self.timer = asyncio.get_running_loop().call_later(
-            _WATCH_DELAY_S, self._start_task
-        )
-
-    def _start_task(self) -> None:
-        self.watch_task = asyncio.create_task(self._wait())
-
-    async def _wait(self) -> None:
-        event = await self.receive()
-        while event['type'] != 'http.disconnect':
-            event = await self.receive()
-        self.has_disconnected = True
-        if self.request_task is not None:
-            self.request_task.cancel()
-
-    def stop(self) -> None:
-        """Stop the watch."""
-        if self.timer is not None:
-            self.timer.cancel()
-        if self.watch_task is not None:
-            self.watch_task.cancel()
-
 
 def _lower_priority(
     priority: messages.Priority, requested_name: str
@@ -504,10 +396,13 @@
     )
 
 
-def response_parts(
-    answer: messages.Answer, method: str
-) -> tuple[list[tuple[bytes, bytes]], bytes]:
-    """Return the headers and the body of the HTTP response for an answer."""
+def respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
+    """Return the response to a request that is served by no handler."""
+    return build_response(dispatch.error_answer(errors.RequestError(kind)))
+
+
+def build_response(answer: messages.Answer) -> http_listener.Response:
+    """Return the HTTP response for an answer."""
     added = [
         (headers.OUTCOME, answer.outcome.label.encode()),
         (headers.ATTEMPTS_USED, b'%d' % answer.attempts_used),
@@ -515,12 +410,12 @@
     if answer.is_replayed:
         added.append((headers.REPLAYED, b'1'))
     if answer.kind is errors.ErrorKind.NONE:
-        pairs = headers.from_block(answer.headers) + added
-        # The answer to HEAD has no body, and the length of the body that GET
-        # would return is unknown.
-        if answer.status not in (204, 304) and method != 'HEAD':
-            pairs.append((b'content-length', b'%d' % len(answer.body)))
-        return pairs, answer.body
+        return http_listener.Response(
+            answer.status,
+            added,
+            answer.body,
+            encoded_headers=answer.headers,
+        )
     body = json.dumps(
         {
             'error': answer.kind.label,
@@ -532,7 +427,6 @@
     added += [
         (headers.ERROR, answer.kind.label.encode()),
         (b'content-type', b'application/json'),
-        (b'content-length', b'%d' % len(body)),
     ]
     if answer.retry_after_ms:
         seconds = -(-answer.retry_after_ms // 1000)
@@ -540,4 +434,4 @@
             (headers.RETRY_AFTER, b'%d' % seconds),
             (headers.RETRY_AFTER_MS, b'%d' % answer.retry_after_ms),
         ]
-    return added, body
+    return http_listener.Response(answer.status, added, body)
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -14,10 +14,11 @@
 from absl import flags
 
 from godwitstall import admin
+from godwitstall import asgi
 from godwitstall import clock
 from godwitstall import command_line
 from godwitstall import event_loop
-from godwitstall import http_server
+from godwitstall import http_listener
 from godwitstall import logs
 from godwitstall.node import base_node
 from godwitstall.node import entry
@@ -64,15 +65,24 @@
             self.relay,
             self.owner.planned_stop,
         )
-        admin_app = admin.create_app(self.dump, self.is_healthy)
-        apps: dict[str, typing.Any] = {
-            options.caller_address: self.entry.caller_app,
-            options.upstream_address: self.entry.upstream_app,
-            options.admin_address: admin_app,
-        }
+        serve_admin = asgi.handler(
+            admin.create_app(self.dump, self.is_healthy)
+        )
+        self.listener = http_listener.Listener(
+            {
+                options.caller_address: self.entry.serve_caller,
+                options.upstream_address: self.entry.serve_upstream,
+                options.admin_address: serve_admin,
+            },
+            entry.respond_to_error,
+        )
         if options.metrics_address:
-            apps[options.metrics_address] = admin_app
-        self.server = http_server.HttpServer(apps, options.max_header_bytes)
+            self.listener.handlers[options.metrics_address] = serve_admin
+        limits = self.listener.limits
+        limits.max_header_bytes = options.max_header_bytes
+        limits.max_body_bytes = options.max_body_bytes
+        # A call may depend on the effect of the one before it.
+        limits.max_pipelined_requests = 1
 
     @classmethod
     def from_config(
@@ -87,17 +97,19 @@
 
     async def start(self) -> None:
         """Start all listeners and tasks."""
-        await self.server.start()
+        await self.listener.start()
         await self.start_components()
 
     async def stop(self) -> None:
-        """Stop without interrupting a request (planned stop).
+        """Stop as planned.
 
         Other nodes may send calls until their lease on a state from before
         the leave expires, so this node serves calls for one more lease.
+        Requests that are still running at the end are told that their outcome
+        is unknown.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
-        self.entry.is_stopping = True
+        self.listener.is_stopping = True
         deadline = clock.now() + self.options.planned_stop_s()
         await self.leave_and_settle()
         if not self.options.stop_grace_s:
@@ -106,13 +118,13 @@
         self.owner.planned_stop.set_end(deadline)
         # New calls must not use up the time left for the running requests, so
         # new connections are refused and callers connect to another node.
-        await self.server.stop_accepting(self.options.caller_address)
+        await self.listener.stop_accepting(self.options.caller_address)
         last_request_until = clock.now() + _LAST_REQUEST_WAIT_S
         while clock.now() < deadline and (
             self._is_busy() or clock.now() < last_request_until
         ):
             await asyncio.sleep(_POLL_INTERVAL_S)
-        await self.server.stop(max(1.0, deadline - clock.now()))
+        await self.listener.close_gracefully(max(deadline - clock.now(), 0.0))
         await self.finish_calls(deadline)
         await self.stop_components()
 
@@ -124,7 +136,7 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the admin listener, without any key."""
         return self.dump_components() | {
-            'is_stopping': self.entry.is_stopping,
+            'is_stopping': self.listener.is_stopping,
             'active': self.entry.active,
         }
 
--- a/standin/program.py
+++ b/standin/program.py
@@ -17,11 +17,11 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import http_server
 from godwitstall import logs
 from loadtool import http_client
 from loadtool import tables
 from standin import app
+from standin import asgi_server
 from standin import options as standin_options
 
 _log = logs.get('standin')
@@ -62,7 +62,7 @@
         self.options = options
         # The start time increases with each restart and needs no stored state.
         self.standin = app.Standin(options, incarnation=clock.wall_ms())
-        self.server = http_server.HttpServer({options.address: self.standin})
+        self.server = asgi_server.AsgiServer(options.address, self.standin)
         self.announce_client = (
             http_client.Client(options.node_address, max_connections=1)
             if options.node_address
@@ -75,8 +75,7 @@
     async def start(self) -> None:
         """Start the listener and the announcements."""
         await self.server.start()
-        state = self.server.server.server_state
-        self.standin.count_connections = lambda: len(state.connections)
+        self.standin.count_connections = self.server.count_connections
         self.tasks.append(asyncio.create_task(self.standin.sample_load()))
         if self.announce_client is not None:
             self.tasks.append(
--- a/tests/base/test_admin.py
+++ b/tests/base/test_admin.py
@@ -9,7 +9,8 @@
 import pytest
 
 from godwitstall import admin
-from godwitstall import http_server
+from godwitstall import asgi
+from godwitstall import http_listener
 from godwitstall import metrics
 from loadtool import addresses
 
@@ -25,17 +26,16 @@
 
     async def main() -> None:
         address = addresses.free_address()
-        server = http_server.HttpServer(
-            {address: admin.create_app(dump_state, is_healthy)}
-        )
-        await server.start()
+        app = admin.create_app(dump_state, is_healthy)
+        listener = http_listener.Listener({address: asgi.handler(app)})
+        await listener.start()
         try:
             async with httpx.AsyncClient(
                 base_url=f'http://{address}', trust_env=False
             ) as client:
                 await check(client)
         finally:
-            await server.stop(1.0)
+            await listener.close()
 
     asyncio.run(main())
 
--- a/tests/base/test_limits_of_the_platform.py
+++ b/tests/base/test_limits_of_the_platform.py
@@ -17,6 +17,8 @@
     'pty',
     'subprocess',
     'uvloop',
+    # It uses uvloop if that is installed.
+    'uvicorn',
 }
 _FORBIDDEN_CALLS = {
     'create_subprocess_exec',
@@ -64,9 +66,3 @@
         'multiprocessing',
         'fork',
     }
-
-
-def test_servers_run_on_the_standard_loop() -> None:
-    """Guards against uvicorn using uvloop if it is installed."""
-    source = (_PACKAGE / 'http_server.py').read_text('utf-8')
-    assert "loop='asyncio'" in source
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -501,8 +501,7 @@
         """Stop the node and the upstream without a planned stop."""
         self.stop_announcing()
         await self.upstream.stop()
-        self.node.server.server.force_exit = True
-        await self.node.server.stop(0.0)
+        await self.node.listener.close()
         self.node.peer_server.close_links()
         self.node.forwarder.close()
         for task in self.node.tasks:
--- a/tests/base/test_close_of_http_server.py
+++ b/tests/listener/test_close_of_asgi_apps.py
@@ -1,10 +1,11 @@
-"""Connections that the HTTP server closes after a response."""
+"""Connections that are closed after a response of an ASGI application."""
 
 import asyncio
 import contextlib
 import typing
 
-from godwitstall import http_server
+from godwitstall import asgi
+from godwitstall import http_listener
 from godwitstall import link
 from loadtool import addresses
 
@@ -40,8 +41,10 @@
 
     async def scenario() -> None:
         address = addresses.free_address()
-        server = http_server.HttpServer({address: _respond})
-        await server.start()
+        listener = http_listener.Listener({address: asgi.handler(_respond)})
+        # A stopping listener closes each connection after its response.
+        listener.is_stopping = True
+        await listener.start()
         reader, writer = await asyncio.open_connection(
             *link.split_address(address)
         )
@@ -59,7 +62,7 @@
                         body += chunk
         finally:
             writer.close()
-            await server.stop(1.0)
+            await listener.close()
         assert len(body) == len(_LARGE_BODY)
 
     asyncio.run(scenario())
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -282,19 +282,21 @@
             reader, writer = await connections.connect(address)
             writer.write(b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n')
             await reader.readuntil(b'done')
-            stop_listening = listener._stop_listening
+            stop_listening = listener._close_listening_sockets
             calls = 0
 
-            async def send_before_close() -> None:
+            async def send_before_close(names: list[str]) -> None:
                 nonlocal calls
                 calls += 1
                 if calls == 2:
                     # close_gracefully() no longer checks for requests.
                     writer.write(b'GET /2 HTTP/1.1\r\nhost: a\r\n\r\n')
                     await asyncio.sleep(0.02)
-                await stop_listening()
+                await stop_listening(names)
 
-            monkeypatch.setattr(listener, '_stop_listening', send_before_close)
+            monkeypatch.setattr(
+                listener, '_close_listening_sockets', send_before_close
+            )
             await listener.close_gracefully(_TIMEOUT_S)
             with contextlib.suppress(ConnectionResetError):
                 remaining_data = await reader.read()
--- a/tests/base/test_http_server.py
+++ b/tests/listener/test_request_limits.py
@@ -1,4 +1,4 @@
-"""Tests of the HTTP server: limits, invalid requests and addresses."""
+"""Tests of the listener: limits, invalid requests and addresses."""
 
 import asyncio
 import collections.abc
@@ -9,11 +9,9 @@
 
 import pytest
 
-from godwitstall import http_server
+from godwitstall import http_listener
 from godwitstall import link
-from godwitstall import messages
 from godwitstall.node import entry
-from godwitstall import settings
 from loadtool import addresses
 
 _MAX_HEADER_BYTES = 4096
@@ -22,8 +20,8 @@
 _TIMEOUT_S = 10.0
 
 
-class _EchoApp:
-    """ASGI application that returns the body of each request."""
+class _EchoHandler:
+    """Returns the body of each request."""
 
     def __init__(self) -> None:
         # Bodies of the requests that were read completely.
@@ -34,31 +32,13 @@
         self.can_respond = asyncio.Event()
         self.can_respond.set()
 
-    async def __call__(
-        self,
-        scope: dict[str, typing.Any],
-        receive: typing.Any,
-        send: typing.Any,
-    ) -> None:
-        body = b''
-        has_more = True
-        while has_more:
-            event = await receive()
-            if event['type'] == 'http.disconnect':
-                return
-            body += event.get('body', b'')
-            has_more = event.get('more_body', False)
-        self.bodies.append(body)
-        self.headers = list(scope['headers'])
+    async def serve(
+        self, request: http_listener.Request
+    ) -> http_listener.Response:
+        self.bodies.append(request.body)
+        self.headers = request.headers
         await self.can_respond.wait()
-        await send(
-            {
-                'type': 'http.response.start',
-                'status': 200,
-                'headers': [(b'content-length', b'%d' % len(body))],
-            }
-        )
-        await send({'type': 'http.response.body', 'body': body})
+        return http_listener.Response(200, [], request.body)
 
 
 @dataclasses.dataclass
@@ -104,13 +84,21 @@
 ]
 
 
-def _run(app: typing.Any, check: _Check) -> None:
-    """Run a check with a function that connects to a server of app."""
+def _run(
+    handler: http_listener.Handler,
+    check: _Check,
+    max_body_bytes: int = 1024 * 1024,
+) -> None:
+    """Run a check with a function that connects to a listener."""
 
     async def main() -> None:
         address = addresses.free_address()
-        server = http_server.HttpServer({address: app}, _MAX_HEADER_BYTES)
-        await server.start()
+        listener = http_listener.Listener(
+            {address: handler}, entry.respond_to_error
+        )
+        listener.limits.max_header_bytes = _MAX_HEADER_BYTES
+        listener.limits.max_body_bytes = max_body_bytes
+        await listener.start()
         host, port = link.split_address(address)
         writers: list[asyncio.StreamWriter] = []
 
@@ -124,7 +112,7 @@
         finally:
             for writer in writers:
                 writer.close()
-            await server.stop(1.0)
+            await listener.close()
 
     asyncio.run(main())
 
@@ -167,7 +155,7 @@
 @pytest.mark.parametrize('name', _OVERSIZED_REQUESTS)
 def test_oversized_headers(name: str) -> None:
     """Guards against oversized headers that are run or fill the memory."""
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -176,9 +164,9 @@
             await connection.read_response(), 431, 'headers_too_large'
         )
         assert await connection.read_response() is None
-        assert app.bodies == []
+        assert handler.bodies == []
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 def test_header_without_end() -> None:
@@ -186,7 +174,7 @@
 
     The parser reports a header line only when it is complete.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -208,7 +196,7 @@
         if response is not None:
             _check_error_response(response, 431, 'headers_too_large')
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 def test_headers_at_the_bound() -> None:
@@ -217,13 +205,18 @@
     The limit applies to the headers of each request, without its body, and
     not to the connection as a whole.
     """
-    app = _EchoApp()
-    value = b'x' * (_MAX_HEADER_BYTES - len(b'/') - len(b'big'))
+    handler = _EchoHandler()
     body = b'b' * 3 * _MAX_HEADER_BYTES
+    length_line = b'content-length: %d\r\n' % len(body)
+    # The limit applies to the target and the header lines.
+    value = b'x' * (
+        _MAX_HEADER_BYTES - len(b'/') - len(length_line) - len(b'big: \r\n')
+    )
     request = (
-        b'POST / HTTP/1.1\r\ncontent-length: %d\r\n' % len(body)
+        b'POST / HTTP/1.1\r\n'
+        + length_line
         + b'big: '
-        + value[len(b'content-length') + len(b'%d' % len(body)) :]
+        + value
         + b'\r\n\r\n'
         + body
     )
@@ -242,7 +235,7 @@
             assert response is not None
             assert response.body == body
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 _MALFORMED_REQUESTS = {
@@ -270,7 +263,7 @@
 
     Each gets an error response, after which the connection is closed.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -279,9 +272,9 @@
             await connection.read_response(), 400, 'bad_request'
         )
         assert await connection.read_response() is None
-        assert app.bodies == []
+        assert handler.bodies == []
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 @pytest.mark.parametrize(
@@ -296,23 +289,36 @@
 def test_refusal_behind_a_running_request(second_request: bytes) -> None:
     """Guards against the outcome 'not-run' for a request that is running.
 
-    The client pipelines an invalid request. An error response to it would
-    arrive first and be matched to the running request.
+    The client pipelines an invalid request. The error response to it must not
+    arrive first, or it would be matched to the running request, and must not
+    cost the running request its own response.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
-        app.can_respond.clear()
+        handler.can_respond.clear()
         connection = await connect()
-        connection.write(b'POST / HTTP/1.1\r\ncontent-length: 1\r\n\r\na')
+        connection.write(
+            b'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\na'
+        )
         async with asyncio.timeout(_TIMEOUT_S):
-            while not app.bodies:
+            while not handler.bodies:
                 await asyncio.sleep(0)
         connection.write(second_request)
+        # Time in which the invalid request is read.
+        await asyncio.sleep(0.1)
+        handler.can_respond.set()
+        response = await connection.read_response()
+        assert response is not None
+        assert (response.status, response.body) == (200, b'a')
+        response = await connection.read_response()
+        assert response is not None
+        assert response.status in (400, 431)
+        assert response.headers['godwitstall-outcome'] == 'not-run'
         assert await connection.read_response() is None
-        app.can_respond.set()
+        assert handler.bodies == [b'a']
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 def test_trailers_are_no_headers() -> None:
@@ -320,7 +326,7 @@
 
     Servers earlier on the path have not validated it.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -331,9 +337,9 @@
         response = await connection.read_response()
         assert response is not None
         assert response.body == b'a'
-        assert b'godwitstall-key' not in dict(app.headers)
+        assert b'godwitstall-key' not in dict(handler.headers)
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 def test_upgrade_is_ignored() -> None:
@@ -342,7 +348,7 @@
     Some clients offer HTTP/2 in their first request and then continue with
     HTTP/1.1 on the same connection, which the server may also close.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -355,7 +361,7 @@
         assert response.headers['connection'] == 'close'
         assert await connection.read_response() is None
 
-    _run(app, check)
+    _run(handler.serve, check)
 
 
 @pytest.mark.parametrize(
@@ -370,7 +376,7 @@
 
     The parser does not read the body of an upgrade request.
     """
-    app = _EchoApp()
+    handler = _EchoHandler()
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
@@ -382,30 +388,74 @@
             await connection.read_response(), 400, 'bad_request'
         )
         assert await connection.read_response() is None
-        assert app.bodies == []
+        assert handler.bodies == []
+
+    _run(handler.serve, check)
+
+
+def test_client_that_waits_before_it_sends_its_body() -> None:
+    """Guards against a client that waits in vain for 100 Continue.
+
+    A request behind a closing response gets no such response.
+    """
+    handler = _EchoHandler()
+    head = (
+        b'POST / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n'
+        b'content-length: 1\r\n'
+    )
+
+    async def check(connect: typing.Any) -> None:
+        connection = await connect()
+        connection.write(head + b'connection: close\r\n\r\n')
+        response = await connection.read_response()
+        assert response is not None
+        assert response.status == 100
+        connection.write(b'a' + head + b'\r\n')
+        response = await connection.read_response()
+        assert response is not None
+        assert (response.status, response.body) == (200, b'a')
+        assert await connection.read_response() is None
+
+    _run(handler.serve, check)
+
+
+_ABSOLUTE_TARGETS = {
+    b'http://b.example/x?y=1': '/x?y=1',
+    b'http://b.example:80/': '/',
+}
+
+
+@pytest.mark.parametrize('target', _ABSOLUTE_TARGETS)
+def test_absolute_target_is_split(target: bytes) -> None:
+    """Guards against a route that is matched by a whole URL.
+
+    The host in the URL replaces the header (RFC 9112, section 3.2.2).
+    """
+    requests: list[http_listener.Request] = []
+
+    async def serve(
+        request: http_listener.Request,
+    ) -> http_listener.Response:
+        requests.append(request)
+        return http_listener.Response(200)
+
+    async def check(connect: typing.Any) -> None:
+        connection = await connect()
+        connection.write(b'GET ' + target + b' HTTP/1.1\r\nhost: a\r\n\r\n')
+        assert await connection.read_response() is not None
+        [request] = requests
+        assert request.target == _ABSOLUTE_TARGETS[target]
+        assert request.header(b'host').startswith(b'b.example')
 
-    _run(app, check)
+    _run(serve, check)
 
 
 def test_large_body() -> None:
     """Guards against an oversized body that is buffered or run.
 
-    The entry enforces this limit, so the test serves its application.
+    The limit holds for bodies with a length and in chunks.
     """
-    options = settings.NodeOptions(
-        node_id=messages.NodeId('n'),
-        zone='z',
-        region='r',
-        link_address='127.0.0.1:1',
-        caller_address='127.0.0.1:2',
-        upstream_address='127.0.0.1:3',
-        admin_address='127.0.0.1:4',
-        service=messages.ServiceName('s'),
-        max_body_bytes=1024,
-    )
-    # A request with an oversized body reaches no other component.
-    unused: typing.Any = None
-    caller_entry = entry.Entry(options, *(unused for _ in range(8)))
+    handler = _EchoHandler()
     body = b'x' * 1025
     chunk = b'401\r\n' + body + b'\r\n'
 
@@ -421,8 +471,9 @@
             _check_error_response(
                 await connection.read_response(), 413, 'body_too_large'
             )
+            assert handler.bodies == []
 
-    _run(caller_entry.caller_app, check)
+    _run(handler.serve, check, max_body_bytes=1024)
 
 
 def test_listener_on_all_addresses() -> None:
@@ -431,26 +482,26 @@
     The local address of a connection to a listener on 0.0.0.0 is the address
     that the client connected to, and two listeners can share a port.
     """
-    wildcard_app, local_app = _EchoApp(), _EchoApp()
+    wildcard, local = _EchoHandler(), _EchoHandler()
 
     async def main() -> None:
         port, other_port = (
             addresses.free_address().rpartition(':')[2] for _ in '12'
         )
-        server = http_server.HttpServer(
+        listener = http_listener.Listener(
             {
-                f'0.0.0.0:{port}': wildcard_app,
-                f'127.0.0.1:{other_port}': local_app,
+                f'0.0.0.0:{port}': wildcard.serve,
+                f'127.0.0.1:{other_port}': local.serve,
             }
         )
-        await server.start()
+        await listener.start()
         try:
-            for app_port, app in (
-                (port, wildcard_app),
-                (other_port, local_app),
+            for handler_port, handler in (
+                (port, wildcard),
+                (other_port, local),
             ):
                 reader, writer = await asyncio.open_connection(
-                    '127.0.0.1', int(app_port)
+                    '127.0.0.1', int(handler_port)
                 )
                 connection = _Connection(reader, writer)
                 connection.write(b'GET / HTTP/1.1\r\nhost: a\r\n\r\n')
@@ -458,9 +509,9 @@
                 writer.close()
                 assert response is not None
                 assert response.status == 200
-                assert app.bodies == [b'']
+                assert handler.bodies == [b'']
         finally:
-            await server.stop(1.0)
+            await listener.close()
 
     asyncio.run(main())
 
@@ -472,8 +523,8 @@
         server = await asyncio.start_server(lambda r, w: None, '127.0.0.1', 0)
         port = server.sockets[0].getsockname()[1]
         async with server:
-            listener = http_server.HttpServer(
-                {f'127.0.0.1:{port}': _EchoApp()}
+            listener = http_listener.Listener(
+                {f'127.0.0.1:{port}': _EchoHandler().serve}
             )
             with pytest.raises(OSError) as exc_info:
                 await listener.start()
@@ -486,28 +537,19 @@
 
 def test_no_delay() -> None:
     """Guards against Nagle's algorithm, which delays a body by 40 ms."""
-    nodelay_values: list[int] = []
 
-    async def app(
-        scope: typing.Any, receive: typing.Any, send: typing.Any
-    ) -> None:
-        del scope, receive
-        transport = send.__self__.transport
-        connection = transport.get_extra_info('socket')
-        nodelay_values.append(
-            connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
-        )
-        await send({'type': 'http.response.start', 'status': 200})
-        await send({'type': 'http.response.body', 'body': b'x'})
-
-    async def check(
-        connect: collections.abc.Callable[
-            [], collections.abc.Awaitable[_Connection]
-        ],
-    ) -> None:
-        connection = await connect()
-        connection.write(b'GET / HTTP/1.1\r\nhost: x\r\n\r\n')
-        assert await connection.read_response() is not None
+    async def main() -> None:
+        address = addresses.free_address()
+        listener = http_listener.Listener({address: _EchoHandler().serve})
+        await listener.start()
+        _, writer = await asyncio.open_connection(*link.split_address(address))
+        async with asyncio.timeout(_TIMEOUT_S):
+            while not listener.connections:
+                await asyncio.sleep(0)
+        (connection,) = listener.connections
+        server_socket = connection.transport.get_extra_info('socket')
+        assert server_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        writer.close()
+        await listener.close()
 
-    _run(app, check)
-    assert nodelay_values and nodelay_values[0]
+    asyncio.run(main())
--- a/tests/node/test_planned_stop.py
+++ b/tests/node/test_planned_stop.py
@@ -25,6 +25,12 @@
             'dispatch_attempts': 4,
         },
         {'name': 'far', 'path_prefix': '/far', 'service': 'gwydd'},
+        {
+            'name': 'slow',
+            'path_prefix': '/slow',
+            'service': 'siop',
+            'timeout_ms': 120_000,
+        },
     ],
 )
 _KEY = 'key-dyffryn'
@@ -131,7 +137,7 @@
             )
             await fakes.until(
                 lambda: (
-                    not stopping.node.server.is_accepting(
+                    not stopping.node.listener.is_accepting(
                         stopping.options.caller_address
                     )
                 ),
@@ -194,7 +200,7 @@
             stop = asyncio.create_task(node.node.stop())
             await fakes.until(
                 lambda: (
-                    not node.node.server.is_accepting(
+                    not node.node.listener.is_accepting(
                         node.options.caller_address
                     )
                 ),
@@ -212,6 +218,82 @@
     asyncio.run(run())
 
 
+async def _hold(
+    request: fakes.ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Answer no request."""
+
+
+def _encode(path: str) -> bytes:
+    return (
+        f'GET {path} HTTP/1.1\r\nhost: a\r\ngodwitstall-key: {_KEY}\r\n\r\n'
+    ).encode()
+
+
+async def _connect(
+    node: fakes.NodeHarness,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    return await asyncio.open_connection(
+        *link_module.split_address(node.options.caller_address)
+    )
+
+
+def test_request_that_a_stop_cuts_gets_a_final_response(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a connection that is closed without a response.
+
+    The request behind the one that is running was read, but not started.
+    """
+
+    async def run() -> None:
+        async with fakes.running(
+            tmp_path, _NOTE, {'siop-1': 'siop'}, stop_grace_s=2.0
+        ) as (_, [node]):
+            node.upstream.respond = _hold
+            reader, writer = await _connect(node)
+            writer.write(_encode('/orders/1') + _encode('/orders/2'))
+            await fakes.until(lambda: bool(node.upstream.runs), 'a call runs')
+            await node.node.stop()
+            responses = (await reader.read()).split(b'HTTP/1.1 ')[1:]
+            writer.close()
+        assert [r[:3] for r in responses] == [b'504', b'503']
+        assert b'godwitstall-error: cut_by_stop' in responses[0]
+        assert b'godwitstall-outcome: unknown' in responses[0]
+        assert b'godwitstall-error: stopping' in responses[1]
+        assert b'godwitstall-outcome: not-run' in responses[1]
+        assert len(node.upstream.runs) == 1
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize('request_count', [1, 2, 40])
+def test_requests_of_a_client_that_has_left_end(
+    tmp_path: pathlib.Path, request_count: int
+) -> None:
+    """Guards against work for a client that has left.
+
+    Its close comes behind requests that it has pipelined.
+    """
+
+    async def run() -> None:
+        async with fakes.running(tmp_path, _NOTE, {'siop-1': 'siop'}) as (
+            _,
+            [node],
+        ):
+            node.upstream.respond = _hold
+            _, writer = await _connect(node)
+            writer.write(_encode('/slow/1') * request_count)
+            await fakes.until(lambda: bool(node.upstream.runs), 'a call runs')
+            writer.close()
+            await fakes.until(
+                lambda: not node.node.owner.active, 'the call is cancelled'
+            )
+            assert len(node.upstream.runs) == 1
+
+    asyncio.run(run())
+
+
 def test_stop_ends_before_the_process_is_killed(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/recorded/recorder.py
+++ b/tests/recorded/recorder.py
@@ -60,6 +60,9 @@
         return [sample(typing.get_args(kind)[0], n) for n in range(2)]
     if isinstance(kind, typing.NewType):
         return sample(kind.__supertype__, place)
+    if kind is errors.ErrorKind:
+        # The last one when the messages were recorded.
+        return errors.ErrorKind.CHAIN_OVERLOADED
     if isinstance(kind, type) and issubclass(kind, enum.Enum):
         return list(kind)[-1]
     if dataclasses.is_dataclass(kind) or hasattr(kind, '__struct_fields__'):
