Deliver what a stopping node has sent before it closes its links

An answer that an owner had queued for another node was lost when its process ended, and the entry node told its caller that the outcome was unknown.

Cause: the links were closed at once and the process left its loop, with unsent bytes in its buffers; a call that crossed the close made the kernel reset the link.

Change: at the end of a planned stop the node sends the end of the stream behind its answers and waits for the peers to close, 0.1 s at most.

--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -21,6 +21,7 @@
 import secrets
 import typing
 
+from godwitstall import clock
 from godwitstall import codec
 from godwitstall import errors
 from godwitstall import logs
@@ -43,6 +44,9 @@
 # The connection is closed if the handshake takes longer.
 HANDSHAKE_TIMEOUT_S = 2.0
 
+# Interval at which a server checks whether its peers have closed their links.
+_END_POLL_INTERVAL_S = 0.01
+
 # Longest frame of the handshake. A peer that is not authenticated yet cannot
 # make this process buffer more.
 _MAX_HANDSHAKE_FRAME_BYTES = 4096
@@ -110,6 +114,9 @@
         # Requests without a reply so far, by sequence number.
         self.pending: dict[int, asyncio.Future[messages.Message]] = {}
         self.is_closed = False
+        # Whether nothing more is sent and received; what was sent before may
+        # still be on its way.
+        self.is_ended = False
         # Whether the link is closed when a request times out and nothing has
         # been received since it was sent. The connection of an otherwise idle
         # link may be dead without a sign, and a new one may work.
@@ -138,7 +145,7 @@
 
     def send_encoded(self, data: bytes) -> None:
         """Queue an encoded message for sending, with the errors of send()."""
-        if self.is_closed:
+        if self.is_closed or self.is_ended:
             raise errors.LinkError(errors.ErrorKind.PEER_LOST)
         # Checked before the write, so that none of a rejected message is sent.
         if self.unsent_bytes > MAX_UNSENT_BYTES:
@@ -296,6 +303,19 @@
             else:
                 handler(message)
 
+    def end(self) -> None:
+        """Send the end of the stream behind the messages sent so far.
+
+        The peer then closes the connection, when it has received them. What it
+        sends until then is ignored.
+        """
+        if self.is_closed or self.is_ended:
+            return
+        self.is_ended = True
+        # The peer may have reset the connection.
+        with contextlib.suppress(OSError):
+            self.writer.write_eof()
+
     def abort(self) -> None:
         """Close the connection and discard the send buffer."""
         self.writer.transport.abort()
@@ -326,7 +346,7 @@
         self.closed = asyncio.get_running_loop().create_future()
 
     def data_received(self, data: bytes) -> None:
-        if self.link.is_closed:
+        if self.link.is_closed or self.link.is_ended:
             return
         try:
             self.link.feed_data(data, self.handler)
@@ -500,6 +520,20 @@
         finally:
             self.links.discard(link)
 
+    async def end_links(self, timeout_s: float) -> None:
+        """Stop listening, and end all links.
+
+        Returns when the peers have closed them, at the latest after timeout_s.
+        """
+        self.is_closed = True
+        if self.server is not None:
+            self.server.close()
+        for link in list(self.links):
+            link.end()
+        deadline = clock.now() + timeout_s
+        while self.links and clock.now() < deadline:
+            await asyncio.sleep(_END_POLL_INTERVAL_S)
+
     def close_links(self) -> None:
         """Stop listening and close all links, also those of handshakes."""
         self.is_closed = True
--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -39,6 +39,9 @@
 # Time to record pending outcomes at a planned stop, seconds.
 _DRAIN_TIMEOUT_S = 5.0
 
+# Time for other nodes to receive the last answers at a planned stop, seconds.
+_LINK_END_TIME_S = 0.1
+
 # Interval at which a stopping node checks for calls in progress, seconds.
 _FINISH_POLL_INTERVAL_S = 0.02
 
@@ -165,6 +168,7 @@
     async def stop_components(self) -> None:
         """Close all links and cancel the tasks."""
         await self.claimer.drain(_DRAIN_TIMEOUT_S)
+        await self.peer_server.end_links(_LINK_END_TIME_S)
         self.peer_server.close_links()
         self.forwarder.close()
         for task in self.tasks:
