Share the admission of the entry and of the gateway

Change: node/admission holds them. A request that a stopping node refuses at its own interface now counts in requests_total, as other refusals do.

No decision changes.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -12,6 +12,7 @@
 from godwitstall import link as link_module
 from godwitstall import logs
 from godwitstall import messages
+from godwitstall.node import admission as admission_module
 from godwitstall.node import claims
 from godwitstall.node import context
 from godwitstall.node import control_session
@@ -101,6 +102,9 @@
             ),
             dialect,
         )
+        self.admission = admission_module.Admission(
+            self.view, self.session, self.allowance, self.owner.planned_stop
+        )
         self.forwarder = forward.Forwarder(identity, local_host)
         self.relay = relay.Relay(
             options,
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -19,6 +19,7 @@
 from godwitstall import http_listener
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import admission as admission_module
 from godwitstall.node import announcements
 from godwitstall.node import context
 from godwitstall.node import control_session
@@ -26,10 +27,8 @@
 from godwitstall.node import dispatch
 from godwitstall.node import headers
 from godwitstall.node import membership as membership_module
-from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
 from godwitstall.node import upstream as upstream_module
-from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
@@ -136,22 +135,20 @@
         options: settings.NodeOptions,
         view: view_module.View,
         session: control_session.ControlSession,
-        allowance: allowance_module.Allowance,
+        admission: admission_module.Admission,
         contexts: context.Contexts,
         membership: membership_module.Membership,
         upstream: upstream_module.Upstream,
         sender: relay.Relay,
-        planned_stop: planned_stop_module.PlannedStop,
     ) -> None:
         self.options = options
         self.view = view
         self.session = session
-        self.allowance = allowance
+        self.admission = admission
         self.contexts = contexts
         self.membership = membership
         self.upstream = upstream
         self.sender = sender
-        self.planned_stop = planned_stop
         # Number of requests inside the handlers.
         self.active = 0
 
@@ -204,34 +201,21 @@
         )
         attempts = self._max_attempts(request, route)
         deadline = now + call.deadline_ms / 1000
-        self.planned_stop.check(deadline)
-        if self.view.is_quarantined(call.fingerprint):
-            answer = dispatch.error_answer(
-                errors.RequestError(errors.ErrorKind.QUARANTINED)
-            )
+        try:
+            self.admission.check(call, deadline)
+            if call.workspace and not self.options.is_pass_through:
+                await self.admission.take_token(call.workspace, deadline)
+                # The lease may have expired during the wait.
+                self._check_lease(clock.now())
+        except errors.RequestError as e:
+            answer = dispatch.error_answer(e)
         else:
-            answer = await self._charge_and_send(
-                call, route, attempts, deadline
+            answer = await self.sender.send(
+                call, route, attempts, deadline, self._is_still_admitted
             )
         _REQUESTS.inc(workspace=workspace, kind=answer.kind.label)
         return answer
 
-    async def _charge_and_send(
-        self,
-        call: messages.Call,
-        route: messages.Route,
-        attempts: int,
-        deadline: float,
-    ) -> messages.Answer:
-        try:
-            if call.workspace and not self.options.is_pass_through:
-                await self._take_token(call.workspace, deadline)
-        except errors.RequestError as e:
-            return dispatch.error_answer(e)
-        return await self.sender.send(
-            call, route, attempts, deadline, self._is_still_admitted
-        )
-
     def _is_still_admitted(self, call: messages.Call) -> bool:
         """Return whether a call is still admitted, before a retry.
 
@@ -240,19 +224,7 @@
         """
         if not self.session.has_lease(clock.now()):
             return False
-        return not call.key_id or (
-            self.view.key_by_id(call.key_id) is not None
-        )
-
-    async def _take_token(
-        self, workspace: messages.WorkspaceName, deadline: float
-    ) -> None:
-        if self.allowance.try_take(workspace, clock.now()):
-            return
-        self.session.grant_wanted.set()
-        await self.allowance.take(workspace, deadline)
-        # The lease may have expired during the wait.
-        self._check_lease(clock.now())
+        return self.admission.has_valid_key(call)
 
     async def _admit_onward(self, request: Request) -> messages.Answer:
         now = request.received_at
@@ -269,11 +241,9 @@
         call = self._build_call(request, route, parent.workspace, now)
         call.key_id = parent.key_id
         call.priority = parent.priority
-        deadline = self.planned_stop.limit(
-            min(parent.deadline, now + call.deadline_ms / 1000)
+        deadline = self.admission.onward_deadline(
+            now + call.deadline_ms / 1000, parent
         )
-        if deadline <= now:
-            raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
         call.deadline_ms = max(1, int((deadline - now) * 1000))
         attempts = parent.budget.reserve(self._max_attempts(request, route))
         attempts_used = attempts
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -19,15 +19,14 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import admission as admission_module
 from godwitstall.node import context
 from godwitstall.node import control_session
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import digests
 from godwitstall.node import dispatch
 from godwitstall.node import headers
-from godwitstall.node import planned_stop as planned_stop_module
 from godwitstall.node import relay
-from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
@@ -56,19 +55,17 @@
         dialect: dialect_module.Dialect,
         view: view_module.View,
         session: control_session.ControlSession,
-        allowance: allowance_module.Allowance,
+        admission: admission_module.Admission,
         contexts: context.Contexts,
         sender: relay.Relay,
-        planned_stop: planned_stop_module.PlannedStop,
     ) -> None:
         self.options = options
         self.dialect = dialect
         self.view = view
         self.session = session
-        self.allowance = allowance
+        self.admission = admission
         self.contexts = contexts
         self.sender = sender
-        self.planned_stop = planned_stop
         self.random = random.Random()
         # Headers that are not forwarded from a caller to an upstream.
         self.reserved_headers = frozenset(
@@ -185,17 +182,10 @@
         call, deadline = self._build_call(request, route, key, workspace)
         parent = self.contexts.find_parent(call.request_id)
         if parent is not None:
-            deadline = self.planned_stop.limit(min(deadline, parent.deadline))
-            if deadline <= clock.recent():
-                raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
-        self.planned_stop.check(deadline)
-        if self.view.is_quarantined(call.fingerprint):
-            raise errors.RequestError(errors.ErrorKind.QUARANTINED)
+            deadline = self.admission.onward_deadline(deadline, parent)
+        self.admission.check(call, deadline)
         if workspace is not None and workspace.rate:
-            workspace_name = messages.WorkspaceName(workspace.name)
-            if not self.allowance.try_take(workspace_name, clock.now()):
-                self.session.grant_wanted.set()
-                await self.allowance.take(workspace_name, deadline)
+            await self.admission.take_token(call.workspace, deadline)
         if parent is None:
             return await self._send(call, route, deadline)
         call.is_onward = True
@@ -229,7 +219,7 @@
             route,
             max(1, route.attempts),
             deadline,
-            self._is_still_admitted,
+            self.admission.has_valid_key,
         )
 
     def _find_key(
@@ -317,12 +307,6 @@
             for name, value in itertools.chain(relayed, added)
         )
 
-    def _is_still_admitted(self, call: messages.Call) -> bool:
-        """Return whether the key of a call is still valid, before a retry."""
-        return not call.key_id or (
-            self.view.key_by_id(call.key_id) is not None
-        )
-
     def _build_response(
         self, answer: messages.Answer
     ) -> http_listener.Response:
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -45,10 +45,9 @@
             dialect,
             self.view,
             self.session,
-            self.allowance,
+            self.admission,
             self.contexts,
             self.relay,
-            self.owner.planned_stop,
         )
         self.listener = http_listener.Listener(
             {options.caller_address: self.gateway.serve},
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -58,12 +58,11 @@
             options,
             self.view,
             self.session,
-            self.allowance,
+            self.admission,
             self.contexts,
             self.membership,
             self.upstream,
             self.relay,
-            self.owner.planned_stop,
         )
         serve_admin = asgi.handler(
             admin.create_app(self.dump, self.is_healthy)
