Keep SIGHUP from ending the programs

What operators would have seen: godwitstall-node or godwitstall-control that SIGHUP ends without a planned stop; requests in progress get no answer.

Cause: no handler; the default action of SIGHUP ends a process.

Change: both programs take their signals from godwitstall/signals.py, where SIGHUP is logged and has no effect.

Conclusion: mended for programs that have started. A process that gets SIGHUP while Python still loads its modules ends as before.

--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -5,10 +5,8 @@
 --initial only when the fleet is created.
 """
 
-import asyncio
 import gc
 import pathlib
-import signal
 import sys
 
 from absl import flags
@@ -23,6 +21,7 @@
 from godwitstall import http_listener
 from godwitstall import logs
 from godwitstall import settings
+from godwitstall import signals
 
 _PROGRAM = 'godwitstall-control'
 _USAGE = """Usage: godwitstall-control --settings FILE [--format [--initial]]
@@ -65,10 +64,7 @@
     listener = http_listener.Listener({options.admin_address: serve_admin})
     if options.metrics_address:
         listener.handlers[options.metrics_address] = serve_admin
-    stop_requested = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
+    stop_requested = signals.stop_requested()
     await process.start(fleet.control[options.slot])
     await listener.start()
     # As in the node: otherwise a full collection blocks the event loop for
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import gc
-import signal
 import sys
 import typing
 
@@ -23,6 +22,7 @@
 from godwitstall.node import base_node
 from godwitstall.node import entry
 from godwitstall import settings
+from godwitstall import signals
 
 _LOG = logs.get('node')
 
@@ -145,9 +145,7 @@
 ) -> None:
     """Run a node until SIGTERM or SIGINT."""
     node = Node.from_config(options, fleet)
-    loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, node.stop_requested.set)
+    node.stop_requested = signals.stop_requested()
     await node.start()
     # Modules and components live as long as the process. Without the freeze a
     # full garbage collection scans them and stops all calls for 34 ms.
