Let uvicorn bind the address of a stand-in

Cause: the stand-in's server and the listener held the same code to bind a socket; two doc comments used a figure of speech.

Change: uvicorn binds the address; it ends the stand-in with status 1 if it is in use. The doc comments say what a caller gets.

--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -112,7 +112,7 @@
         stays open until they do. Requests that come later are accepted only if
         they end before the stop does. The node stops once it has been idle for
         a while, or when the time for the planned stop is over. Requests that
-        are still running then are told that their outcome is unknown.
+        are still running then get a response with an unknown outcome.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         end = clock.now() + self.options.planned_stop_s()
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -104,8 +104,8 @@
 
         Other nodes may send calls until their lease on a state from before
         the leave expires, so this node serves calls for one more lease.
-        Requests that are still running at the end are told that their outcome
-        is unknown.
+        Requests that are still running at the end get a response with an
+        unknown outcome.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         self.listener.is_stopping = True
--- a/standin/asgi_server.py
+++ b/standin/asgi_server.py
@@ -7,7 +7,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import socket
 import typing
 
 import uvicorn
@@ -33,9 +32,11 @@
     """Serves an ASGI application at one address."""
 
     def __init__(self, address: str, app: typing.Any) -> None:
-        self.address = address
+        host, port = link.split_address(address)
         config = uvicorn.Config(
             app,
+            host=host,
+            port=port,
             loop='asyncio',
             interface='asgi3',
             proxy_headers=False,
@@ -59,11 +60,9 @@
     async def start(self) -> None:
         """Listen on the address; return once connections are accepted.
 
-        Errors: OSError when the address is not available.
+        uvicorn ends the process when the address is not available.
         """
-        self.task = asyncio.create_task(
-            self.server.serve(sockets=[_bind(self.address)])
-        )
+        self.task = asyncio.create_task(self.server.serve())
         while not self.server.started:
             if self.task.done():
                 self.task.result()
@@ -76,21 +75,3 @@
         self.server.config.timeout_graceful_shutdown = int(timeout_s) or 1
         self.server.should_exit = True
         await self.task
-
-
-def _bind(address: str) -> socket.socket:
-    host, port = link.split_address(address)
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    # asyncio disables Nagle's algorithm only on sockets created with
-    # IPPROTO_TCP. The algorithm delays the body of a response by 40 ms, until
-    # the delayed ACK of the peer.
-    listening_socket = socket.socket(
-        family, socket.SOCK_STREAM, socket.IPPROTO_TCP
-    )
-    listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listening_socket.bind((host, port))
-    except OSError:
-        listening_socket.close()
-        raise
-    return listening_socket
