Spend less time on the headers of a request

Cause: since each request paid for a search for Expect, for a method and an upgrade that were read twice, and for a call that starts waiting handlers.

Change: one look-up a header finds those that matter; the target, the method and waiting handlers are looked at only where they can matter.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -83,6 +83,9 @@
 # Unsent bytes of one connection above which no more requests are parsed.
 _WRITE_HIGH_WATER_BYTES = 256 * 1024
 
+_CHECKED_HEADERS = frozenset(
+    (b'content-length', b'expect', b'host', b'transfer-encoding')
+)
 _HTTP_VERSIONS = frozenset(('1.0', '1.1'))
 
 _REASON_PHRASES = {
@@ -193,6 +196,8 @@
         self.parser: typing.Any = httptools.HttpRequestParser(self)
         # Requests whose responses have not been written, oldest first.
         self.exchanges: collections.deque[_Exchange] = collections.deque()
+        # Whether some of them may wait for their handlers.
+        self.has_waiting = False
         # When the last response was written, or the connection was made.
         self.last_active_at = clock.recent()
         # When the first byte of the current request was read; 0 between
@@ -219,6 +224,10 @@
         self.url = b''
         self.headers: Headers = []
         self.is_in_headers = True
+        # Whether the client waits for a response before it sends the body.
+        self.expects_continue = False
+        # Whether the client offers another protocol.
+        self.is_upgrade = False
         self.body: list[bytes] = []
         self.body_bytes = 0
 
@@ -295,7 +304,12 @@
     def data_received(self, data: bytes) -> None:
         if self.is_closing:
             return
-        if self.unparsed or len(data) > _PARSE_BYTES or not self._may_parse():
+        if (
+            self.exchanges
+            or self.unparsed
+            or self.is_write_paused
+            or len(data) > _PARSE_BYTES
+        ):
             self.unparsed += data
             self._parse_requests()
         else:
@@ -375,16 +389,17 @@
         self.is_in_headers = False
         if self.is_closing:
             return
-        self._use_origin_form()
+        if not self.url.startswith(b'/'):
+            self._use_origin_form()
         problem = self._find_problem()
         if problem is not None:
             self.reject(problem)
-        elif self._expects_continue() and not self.exchanges:
+        elif self.expects_continue and not self.exchanges:
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def _use_origin_form(self) -> None:
         """Split an absolute URL, as proxies get it, into host and path."""
-        if self.url.startswith(b'/') or self.url == b'*':
+        if self.url == b'*':
             return
         try:
             url = httptools.parse_url(self.url)
@@ -408,11 +423,15 @@
         has_body = False
         for name, value in self.headers:
             header_size += len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
+            if name not in _CHECKED_HEADERS:
+                continue
             if name == b'host':
                 host_count += 1
             elif name == b'transfer-encoding':
                 has_body = True
-            elif name == b'content-length':
+            elif name == b'expect':
+                self.expects_continue = value.lower() == b'100-continue'
+            else:
                 has_body = has_body or value != b'0'
                 if (
                     len(value) > _MAX_CONTENT_LENGTH_DIGITS
@@ -421,24 +440,22 @@
                     return errors.ErrorKind.BODY_TOO_LARGE
         if header_size > limits.max_header_bytes:
             return errors.ErrorKind.HEADERS_TOO_LARGE
+        self.is_upgrade = self.parser.should_upgrade()
         if (
             # Another server on the path could use a different one of them.
             host_count > 1
             or not self.url
             or not self.url.isascii()
             or self.parser.get_http_version() not in _HTTP_VERSIONS
-            or self.parser.get_method() == b'CONNECT'
             # The parser does not read the body of such a request.
-            or (has_body and self.parser.should_upgrade())
+            or (self.is_upgrade and (has_body or self._is_connect()))
         ):
             return errors.ErrorKind.BAD_REQUEST
         return None
 
-    def _expects_continue(self) -> bool:
-        return any(
-            name == b'expect' and value.lower() == b'100-continue'
-            for name, value in self.headers
-        )
+    def _is_connect(self) -> bool:
+        method: bytes = self.parser.get_method()
+        return method == b'CONNECT'
 
     def on_body(self, body: bytes) -> None:
         self.body_bytes += len(body)
@@ -469,8 +486,7 @@
             # The listener supports no other protocol, and the parser reads
             # nothing behind an upgrade request.
             closes_connection=(
-                self.parser.should_upgrade()
-                or not self.parser.should_keep_alive()
+                self.is_upgrade or not self.parser.should_keep_alive()
             ),
             is_head=method == 'HEAD',
         )
@@ -479,6 +495,8 @@
         self.exchanges.append(exchange)
         if len(self.exchanges) <= limits.max_pipelined_requests:
             self._start_handler(exchange)
+        else:
+            self.has_waiting = True
 
     def _start_handler(self, exchange: _Exchange) -> None:
         assert exchange.request is not None
@@ -494,6 +512,8 @@
             exchange = self.exchanges[last]
             if exchange.request is not None:
                 self._start_handler(exchange)
+        else:
+            self.has_waiting = False
 
     async def _serve(
         self, exchange: _Exchange, request: Request, is_read_late: bool
@@ -543,7 +563,8 @@
             if is_last:
                 self._linger()
                 return
-            self._start_waiting_handler()
+            if self.has_waiting:
+                self._start_waiting_handler()
         if self.unparsed:
             self._parse_requests()
 
