Count the bytes that a listener reads and discards

Cause: what a client sends on a connection that is closing is thrown away. Change: http_discarded_bytes_total, by whether the last response was written. Bytes before it may be requests whose client learns nothing for seconds.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -42,6 +42,11 @@
     'http_cut_requests_total',
     'Requests ended before their handlers returned by reason.',
 )
+_DISCARDED_BYTES = metrics.counter(
+    'http_discarded_bytes_total',
+    'Bytes discarded on connections that are closing, by whether the last '
+    'response was written.',
+)
 
 # Connections that the kernel queues until the event loop accepts them.
 _BACKLOG = 2048
@@ -303,6 +308,9 @@
 
     def data_received(self, data: bytes) -> None:
         if self.is_closing:
+            _DISCARDED_BYTES.inc(
+                len(data), is_answered=str(self.is_lingering).lower()
+            )
             return
         if (
             self.exchanges
