Answer requests that are read while a stop closes their connection

What callers saw: a client that pipelines to a node that stops got no response to what it sent between the first response of the stop and the last pending one, and learned of it only by the close, seconds later. Cause: the decision to close a connection (a stop, or a closing response) set is_closing at once, and what arrived after that was read and thrown away. The close itself is announced on the last pending response only. Change: until the last response is written, requests are read and refused in their order: 503, not run, with the time until the next process. A refused request is complete at once, so a client that always has a request pending cannot keep the connection. Refusing begins with the first response that is written, not with the first that is ready: before it the client gains nothing from a refusal, as responses are sent in order. test_pipelining_client_hears_of_a_planned_stop waited for a handler of each request; a refused one has none. It now demands a response to each request before the close, and fails on the code before, as its requests got none. Requests that cross the announced close are not read, as RFC 9112 says.

--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -3,11 +3,12 @@
 Pipelined requests of a connection are handled concurrently, and their
 responses are sent in the order of the requests. A request is passed to its
 handler after its body has been read. A response announces the close of the
-connection only if it is the last one. When the client closes the connection,
-its pending requests are cancelled. When the listener closes it, they are
-cancelled too, but each gets a final response, in order with the responses that
-are ready. The limits on headers, bodies and idle time can be changed while
-connections are open.
+connection only if it is the last one. Requests that are read before it, while
+the close is due, are refused, because the client cannot know of the close yet.
+When the client closes the connection, its pending requests are cancelled. When
+the listener closes it, they are cancelled too, but each gets a final response,
+in order with the responses that are ready. The limits on headers, bodies and
+idle time can be changed while connections are open.
 
 Example:
     listener = http_listener.Listener({'127.0.0.1:8080': serve})
@@ -42,6 +43,10 @@
     'http_cut_requests_total',
     'Requests ended before their handlers returned by reason.',
 )
+_REFUSED_REQUESTS = metrics.counter(
+    'http_refused_requests_total',
+    'Requests refused because their connections are about to close.',
+)
 _DISCARDED_BYTES = metrics.counter(
     'http_discarded_bytes_total',
     'Bytes discarded on connections that are closing, by whether the last '
@@ -156,8 +161,8 @@
     # Headers other than Connection and Content-Length.
     headers: Headers = dataclasses.field(default_factory=list)
     body: bytes = b''
-    # Whether to close the connection. No more requests are read from it; those
-    # that have been read are answered first.
+    # Whether to close the connection. The requests that have been read are
+    # answered first, and those that are read meanwhile are refused.
     closes_connection: bool = False
     # Encoded lines of additional headers, each with its line end.
     encoded_headers: bytes = b''
@@ -211,6 +216,9 @@
         # Bytes received since the last request ended, until the headers of
         # the next one are complete.
         self.header_bytes = 0
+        # The connection is closed behind the pending responses. Requests are
+        # read, and refused without being passed to the handler.
+        self.is_refusing = False
         # No more requests are read; pending responses are still sent.
         self.is_closing = False
         # Whether the last response has been written. The connection is then
@@ -470,7 +478,7 @@
         if self.body_bytes > self.listener.limits.max_body_bytes:
             self.reject(errors.ErrorKind.BODY_TOO_LARGE)
             self.body.clear()
-        elif not self.is_closing:
+        elif not (self.is_closing or self.is_refusing):
             self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -501,11 +509,25 @@
         if exchange.closes_connection:
             self.is_closing = True
         self.exchanges.append(exchange)
-        if len(self.exchanges) <= limits.max_pipelined_requests:
+        if self.is_refusing:
+            self._refuse(exchange)
+        elif len(self.exchanges) <= limits.max_pipelined_requests:
             self._start_handler(exchange)
         else:
             self.has_waiting = True
 
+    def _refuse(self, exchange: _Exchange) -> None:
+        """Answer a request that is read while the last responses are pending.
+
+        It is written behind them, so that a client that always has a request
+        pending cannot keep the connection.
+        """
+        _REFUSED_REQUESTS.inc()
+        exchange.request = None
+        exchange.response = self.listener.respond_to_error(
+            errors.ErrorKind.STOPPING
+        )
+
     def _start_handler(self, exchange: _Exchange) -> None:
         assert exchange.request is not None
         exchange.task = asyncio.get_running_loop().create_task(
@@ -545,25 +567,27 @@
     def _complete(self, exchange: _Exchange, response: Response) -> None:
         exchange.task = None
         exchange.response = response
-        if exchange.closes_connection or response.closes_connection:
+        if exchange.closes_connection:
             self.is_closing = True
+        elif response.closes_connection:
+            self.is_refusing = True
         self._flush()
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
-        if self.listener.is_stopping:
-            # Otherwise a client that always has a request pending would keep
-            # the connection.
-            self.is_closing = True
         while self.exchanges:
             exchange = self.exchanges[0]
             if exchange.response is None:
                 break
             self.exchanges.popleft()
+            if self.listener.is_stopping:
+                self.is_refusing = True
             # For the client, requests after a closing response were not
             # processed (RFC 9112, section 9.6), so all requests that have been
             # read are answered before the connection is closed.
-            is_last = not self.exchanges and self.is_closing
+            is_last = not self.exchanges and (
+                self.is_refusing or self.is_closing
+            )
             self.transport.write(
                 _encode_response(exchange.response, exchange.is_head, is_last)
             )
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -216,6 +216,14 @@
         _REQUESTS.inc(workspace=workspace, kind=answer.kind.label)
         return answer
 
+    def respond_to_error(
+        self, kind: errors.ErrorKind
+    ) -> http_listener.Response:
+        """Return the response to a request that is served by no handler."""
+        return build_response(
+            dispatch.error_answer(self.admission.planned_stop.error(kind))
+        )
+
     def _is_still_admitted(self, call: messages.Call) -> bool:
         """Return whether a call is still admitted, before a retry.
 
@@ -366,11 +374,6 @@
     )
 
 
-def respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
-    """Return the response to a request that is served by no handler."""
-    return build_response(dispatch.error_answer(errors.RequestError(kind)))
-
-
 def build_response(answer: messages.Answer) -> http_listener.Response:
     """Return the HTTP response for an answer."""
     added = [
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -106,7 +106,7 @@
     ) -> http_listener.Response:
         """Return the response to a request that is served by no handler."""
         return self._build_response(
-            dispatch.error_answer(errors.RequestError(kind))
+            dispatch.error_answer(self.admission.planned_stop.error(kind))
         )
 
     def _log_request(
--- a/godwitstall/node/planned_stop.py
+++ b/godwitstall/node/planned_stop.py
@@ -54,9 +54,24 @@
         """
         if deadline + _RESPONSE_DELAY_S <= self.end:
             return
-        left_s = max(0.0, self.end - clock.recent())
         raise errors.RequestError(
             errors.ErrorKind.STOPPING,
             'The node stops before the deadline of the request.',
-            round((left_s + _RESTART_S) * 1000),
+            self.retry_after_ms(),
         )
+
+    def error(self, kind: errors.ErrorKind) -> errors.RequestError:
+        """Return the error of a request that reaches no handler.
+
+        One that the stop refuses has the time until the next process.
+        """
+        if kind is not errors.ErrorKind.STOPPING:
+            return errors.RequestError(kind)
+        return errors.RequestError(kind, retry_after_ms=self.retry_after_ms())
+
+    def retry_after_ms(self) -> int:
+        """Return the time until the next process; 0 without an end."""
+        if math.isinf(self.end):
+            return 0
+        left_s = max(0.0, self.end - clock.recent())
+        return round((left_s + _RESTART_S) * 1000)
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -73,7 +73,7 @@
                 options.upstream_address: self.entry.serve_upstream,
                 options.admin_address: serve_admin,
             },
-            entry.respond_to_error,
+            self.entry.respond_to_error,
         )
         if options.metrics_address:
             self.listener.handlers[options.metrics_address] = serve_admin
--- a/tests/listener/test_close_with_unread_answers.py
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -60,7 +60,8 @@
     """Guards against a connection that a stopping listener keeps.
 
     The client sends each request while the one before it is running, so that
-    the listener never sees the connection without a pending request.
+    the listener never sees the connection without a pending request. Each of
+    them is answered before the connection is closed.
     """
 
     async def scenario() -> None:
@@ -77,21 +78,27 @@
         async with connections.listening(serve) as (listener, address):
             reader, writer = await connections.connect(address)
             writer.write(_GET_1)
+            sent = 1
             oldest = await arrivals.get()
             listener.is_stopping = True
             responses: list[bytes] = []
             async with asyncio.timeout(_TIMEOUT_S):
                 for _ in range(20):
                     writer.write(_GET_2)
-                    # The listener need not read the request.
+                    sent += 1
+                    # The listener may refuse the request.
                     newest = asyncio.create_task(arrivals.get())
                     await asyncio.wait({newest}, timeout=0.2)
                     oldest.set()
                     responses.append(await reader.readuntil(b'\r\n\r\n'))
+                    if not newest.done():
+                        newest.cancel()
+                        responses.append(await reader.readuntil(b'\r\n\r\n'))
                     if b'connection: close' in responses[-1]:
                         break
-                    oldest = await newest
+                    oldest = newest.result()
             writer.close()
         assert b'connection: close' in responses[-1]
+        assert len(responses) == sent
 
     asyncio.run(scenario())
--- a/tests/listener/test_random_connections.py
+++ b/tests/listener/test_random_connections.py
@@ -151,6 +151,10 @@
     assert client.received.count(b'connection: close') <= 1
 
 
+def _discarded_unanswered() -> float:
+    return http_listener._DISCARDED_BYTES.value(is_answered='false')
+
+
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
     async with asyncio.timeout(_TIMEOUT_S):
         while not condition():
@@ -172,6 +176,7 @@
     async def scenario() -> None:
         chance = random.Random(seed)
         handler = _Handler()
+        discarded = _discarded_unanswered()
         clients = [
             _Client(random.Random(f'{seed}-{number}'), number)
             for number in range(_CLIENTS)
@@ -192,5 +197,7 @@
                 await asyncio.gather(*tasks)
         for client in clients:
             _check(client, handler)
+        # Nothing is read and dropped before the close has been announced.
+        assert _discarded_unanswered() == discarded
 
     asyncio.run(scenario())
--- a/tests/listener/test_request_limits.py
+++ b/tests/listener/test_request_limits.py
@@ -9,8 +9,10 @@
 
 import pytest
 
+from godwitstall import errors
 from godwitstall import http_listener
 from godwitstall import link
+from godwitstall.node import dispatch
 from godwitstall.node import entry
 from loadtool import addresses
 
@@ -84,6 +86,11 @@
 ]
 
 
+def _respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
+    answer = dispatch.error_answer(errors.RequestError(kind))
+    return entry.build_response(answer)
+
+
 def _run(
     handler: http_listener.Handler,
     check: _Check,
@@ -94,7 +101,7 @@
     async def main() -> None:
         address = addresses.free_address()
         listener = http_listener.Listener(
-            {address: handler}, entry.respond_to_error
+            {address: handler}, _respond_to_error
         )
         listener.limits.max_header_bytes = _MAX_HEADER_BYTES
         listener.limits.max_body_bytes = max_body_bytes
--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -38,12 +38,16 @@
 # Request that runs until the end of each test.
 _FIRST = '/long/first'
 
+# Request that runs until a test releases it.
+_SECOND = '/short/second-held'
+
 
 class _Upstream:
-    """An upstream that holds the first request until it is released."""
+    """An upstream that holds two of the requests until they are released."""
 
     def __init__(self) -> None:
         self.is_released = asyncio.Event()
+        self.is_second_released = asyncio.Event()
         self.received: list[str] = []
 
     async def serve(
@@ -52,6 +56,8 @@
         self.received.append(request.target)
         if request.target == _FIRST:
             await self.is_released.wait()
+        if request.target == _SECOND:
+            await self.is_second_released.wait()
         return http_listener.Response(
             200,
             [
@@ -256,6 +262,43 @@
     _run(check, monkeypatch)
 
 
+def test_request_pipelined_behind_the_last_answers_of_a_stop_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a request that a stopping node reads and drops.
+
+    Its client has seen a response of the stop, and no close.
+    """
+
+    async def check(stopping: _Stopping) -> None:
+        reader, writer = await connections.connect(
+            stopping.node.options.caller_address
+        )
+        writer.write(_encode(_SECOND) + _encode(_FIRST))
+        async with asyncio.timeout(_TIMEOUT_S):
+            await _until(lambda: len(stopping.upstream.received) == 3)
+            await stopping.end_settle_time()
+            stopping.upstream.is_second_released.set()
+            head, _ = await _read_response(reader)
+            assert head[9:12] == b'200'
+            assert b'connection: close' not in head
+            writer.write(_encode('/short/late'))
+            # The node reads the request before the last response.
+            await asyncio.sleep(0.1)
+            stopping.upstream.is_released.set()
+            head, _ = await _read_response(reader)
+            assert head[9:12] == b'200'
+            head, body = await _read_response(reader)
+        writer.close()
+        assert head[9:12] == b'503'
+        assert json.loads(body)['outcome'] == 'not-run'
+        assert b'retry-after: ' in head
+        assert b'connection: close' in head
+        assert '/short/late' not in stopping.upstream.received
+
+    _run(check, monkeypatch)
+
+
 def test_request_that_ends_in_the_grace_time_is_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
