--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -27,6 +27,7 @@
 from godwitstall.configuration import note as notes
 from godwitstall import errors
 from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import link as link_module
 from godwitstall import messages
 from loadtool import addresses
@@ -460,10 +461,10 @@
 
 
 async def _answer_probe(
-    request: http_listener.Request,
-) -> http_listener.Response:
+    request: http_messages.Request,
+) -> http_messages.Response:
     del request
-    return http_listener.Response(200)
+    return http_messages.Response(200)
 
 
 async def _ignore_message(message: messages.Message) -> None:
--- a/godwitstall/asgi.py
+++ b/godwitstall/asgi.py
@@ -12,7 +12,7 @@
 import typing
 import urllib.parse
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 
 # Headers that the listener adds.
 _LISTENER_HEADERS = frozenset((b'connection', b'content-length'))
@@ -24,8 +24,8 @@
 class _Exchange:
     """One request as the application receives it, and its response."""
 
-    request: http_listener.Request
-    response: http_listener.Response
+    request: http_messages.Request
+    response: http_messages.Response
     is_received: bool = False
 
     async def receive(self) -> Event:
@@ -53,18 +53,18 @@
             self.response.body += event.get('body', b'')
 
 
-def handler(app: typing.Any) -> http_listener.Handler:
+def handler(app: typing.Any) -> http_messages.Handler:
     """Return a handler that serves an ASGI application."""
 
-    async def serve(request: http_listener.Request) -> http_listener.Response:
-        exchange = _Exchange(request, http_listener.Response(500))
+    async def serve(request: http_messages.Request) -> http_messages.Response:
+        exchange = _Exchange(request, http_messages.Response(500))
         await app(_scope(request), exchange.receive, exchange.send)
         return exchange.response
 
     return serve
 
 
-def _scope(request: http_listener.Request) -> Event:
+def _scope(request: http_messages.Request) -> Event:
     path, _, query = request.target.partition('?')
     return {
         'type': 'http',
--- /dev/null
+++ b/godwitstall/http_connection.py
@@ -0,0 +1,418 @@
+"""A connection of a client to an HTTP listener.
+
+Keeps the requests of the connection with their responses, in order, from the
+first byte to the close.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import enum
+import select
+import typing
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import event_loop
+from godwitstall import http_messages
+from godwitstall import http_parser
+from godwitstall import logs
+from godwitstall import metrics
+
+_LOG = logs.get('http')
+_BAD_REQUESTS = metrics.counter(
+    'http_bad_requests_total', 'Connections closed for bad requests by status.'
+)
+_CUT_REQUESTS = metrics.counter(
+    'http_cut_requests_total',
+    'Requests ended before their handlers returned by reason.',
+)
+_REFUSED_REQUESTS = metrics.counter(
+    'http_refused_requests_total',
+    'Requests refused because their connections are about to close.',
+)
+_DISCARDED_BYTES = metrics.counter(
+    'http_discarded_bytes_total',
+    'Bytes discarded on connections that are closing, by whether the last '
+    'response was written.',
+)
+
+# Requests are parsed in parts of this size, so that few of them have to wait
+# for their handlers.
+_PARSE_BYTES = 4096
+
+# Reading is paused while a connection has this many bytes that are not parsed.
+_MAX_UNPARSED_BYTES = 64 * 1024
+
+# After its last response a connection is read for this long, until the client
+# closes it.
+_LINGER_S = 1.0
+
+# Time in which the close of a client is read behind a request that has waited
+# to be read.
+_LATE_CLOSE_WAIT_S = 0.001
+
+# Unsent bytes of one connection above which no more requests are parsed.
+_WRITE_HIGH_WATER_BYTES = 256 * 1024
+
+
+class CutReason(enum.Enum):
+    """Why a request ends before its handler returns.
+
+    The task of its handler is cancelled with the value as the message.
+    """
+
+    CLIENT_LEFT = 'client_left'
+    LISTENER_CLOSED = 'listener_closed'
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Exchange:
+    """A request and its response."""
+
+    # None for an invalid request, and once the handler has been started.
+    request: http_messages.Request | None = None
+    # None until the handler has returned or the request has been cut.
+    response: http_messages.Response | None = None
+    # A response to HEAD has no body.
+    is_head: bool = False
+    task: asyncio.Task[None] | None = None
+
+
+class Server(typing.Protocol):
+    """The state that the connections of a listener share."""
+
+    limits: http_messages.Limits
+    respond_to_error: http_messages.ErrorResponder
+    connections: set['Connection']
+    # Number of requests that are being handled.
+    active_requests: int
+    # Whether a connection is closed when its pending requests have been
+    # answered.
+    is_stopping: bool
+
+
+class Connection(asyncio.Protocol):
+    """A connection from a client."""
+
+    def __init__(
+        self, listener: Server, handler: http_messages.Handler
+    ) -> None:
+        self.listener = listener
+        self.handler = handler
+        self.transport: typing.Any = None
+        # Once it is stopped, no more requests are read; pending responses are
+        # still sent.
+        self.parser = http_parser.RequestParser(listener.limits, self)
+        # Requests whose responses have not been written, oldest first.
+        self.exchanges: collections.deque[_Exchange] = collections.deque()
+        # Whether some of them may wait for their handlers.
+        self.has_waiting = False
+        # When the last response was written, or the connection was made.
+        self.last_active_at = clock.recent()
+        # The connection is closed behind the pending responses. Requests are
+        # read, and refused without being passed to the handler.
+        self.is_refusing = False
+        # Whether the last response has been written. The connection is then
+        # read until the client closes it, because the kernel resets a
+        # connection that is closed with unread bytes, and the client would
+        # lose what it has not received yet.
+        self.is_lingering = False
+        self.is_write_paused = False
+        # Bytes that were read and not parsed, because the client has too many
+        # pending requests or does not read its responses. Reading goes on, as
+        # the close of the client could not be noticed otherwise.
+        self.unparsed = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+        self.transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
+        self.listener.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.listener.connections.discard(self)
+        self._on_client_left()
+
+    def eof_received(self) -> None:
+        """Cancel the pending requests, and close the connection.
+
+        The transport closes it only when all that was written has been sent.
+        """
+        self._on_client_left()
+
+    def _on_client_left(self) -> None:
+        self.parser.is_stopped = True
+        self._cancel_handlers(CutReason.CLIENT_LEFT)
+        self.exchanges.clear()
+        self.unparsed.clear()
+
+    def cut_requests(self) -> None:
+        """End the pending requests, and close after the last response.
+
+        Those whose handlers have not returned get a final response, so that
+        they delay the responses that are ready behind them no longer.
+        """
+        self.parser.is_stopped = True
+        self._cancel_handlers(CutReason.LISTENER_CLOSED)
+        for exchange in self.exchanges:
+            if exchange.response is not None:
+                continue
+            kind = errors.ErrorKind.CUT_BY_STOP
+            if exchange.request is not None:
+                kind = errors.ErrorKind.STOPPING
+                # Its handler must not be started any more.
+                exchange.request = None
+            exchange.response = self.listener.respond_to_error(kind)
+        self._flush()
+
+    def close(self) -> None:
+        """Cut the pending requests and close the connection."""
+        self.cut_requests()
+        self.transport.close()
+
+    def _cancel_handlers(self, reason: CutReason) -> None:
+        for exchange in self.exchanges:
+            if exchange.task is not None:
+                _CUT_REQUESTS.inc(reason=reason.value)
+                exchange.task.cancel(reason.value)
+                exchange.task = None
+
+    def pause_writing(self) -> None:
+        """Parse no more requests; the client is slow to read its responses."""
+        self.is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Go on parsing when the client has caught up."""
+        self.is_write_paused = False
+        self._parse_requests()
+
+    def _may_parse(self) -> bool:
+        return not (
+            self.parser.is_stopped
+            or self.is_write_paused
+            or len(self.exchanges)
+            >= self.listener.limits.max_pipelined_requests
+        )
+
+    def data_received(self, data: bytes) -> None:
+        if self.parser.is_stopped:
+            _DISCARDED_BYTES.inc(
+                len(data), is_answered=str(self.is_lingering).lower()
+            )
+            return
+        if (
+            self.exchanges
+            or self.unparsed
+            or self.is_write_paused
+            or len(data) > _PARSE_BYTES
+        ):
+            self.unparsed += data
+            self._parse_requests()
+        else:
+            self.parser.feed(data)
+
+    def _parse_requests(self) -> None:
+        """Parse received bytes as far as the pending requests allow it."""
+        while self.unparsed and self._may_parse():
+            part = bytes(self.unparsed[:_PARSE_BYTES])
+            del self.unparsed[:_PARSE_BYTES]
+            self.parser.feed(part)
+        if self.parser.is_stopped:
+            self.unparsed.clear()
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        if self.transport.is_closing():
+            return
+        if len(self.unparsed) > _MAX_UNPARSED_BYTES:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def reject(self, kind: errors.ErrorKind) -> None:
+        """Send an error response to an invalid request and close.
+
+        The requests before it are answered first.
+        """
+        if self.parser.is_stopped:
+            return
+        response = self.listener.respond_to_error(kind)
+        _BAD_REQUESTS.inc(status=str(response.status))
+        self.parser.is_stopped = True
+        self.exchanges.append(_Exchange(response=response))
+        self._flush()
+
+    def on_expect_continue(self) -> None:
+        """Ask for the body of a request if no response is due before it."""
+        if not self.exchanges:
+            self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
+
+    def on_request(
+        self, request: http_messages.Request, closes_connection: bool
+    ) -> None:
+        """Start the handler of a request, or refuse the request."""
+        if closes_connection:
+            self.parser.is_stopped = True
+        exchange = _Exchange(request, is_head=request.method == 'HEAD')
+        self.exchanges.append(exchange)
+        if self.is_refusing:
+            self._refuse(exchange)
+        elif len(self.exchanges) <= (
+            self.listener.limits.max_pipelined_requests
+        ):
+            self._start_handler(exchange)
+        else:
+            self.has_waiting = True
+
+    def _refuse(self, exchange: _Exchange) -> None:
+        """Answer a request that is read while the last responses are pending.
+
+        It is written behind them, so that a client that always has a request
+        pending cannot keep the connection.
+        """
+        _REFUSED_REQUESTS.inc()
+        exchange.request = None
+        exchange.response = self.listener.respond_to_error(
+            errors.ErrorKind.STOPPING
+        )
+
+    def _start_handler(self, exchange: _Exchange) -> None:
+        assert exchange.request is not None
+        exchange.task = asyncio.get_running_loop().create_task(
+            self._serve(exchange, exchange.request, event_loop.is_late())
+        )
+        exchange.request = None
+
+    def _start_waiting_handler(self) -> None:
+        """Start the handler of the first request that waits for others."""
+        last = self.listener.limits.max_pipelined_requests - 1
+        if len(self.exchanges) > last:
+            exchange = self.exchanges[last]
+            if exchange.request is not None:
+                self._start_handler(exchange)
+        else:
+            self.has_waiting = False
+
+    async def _serve(
+        self,
+        exchange: _Exchange,
+        request: http_messages.Request,
+        is_read_late: bool,
+    ) -> None:
+        self.listener.active_requests += 1
+        try:
+            if is_read_late:
+                # The client may have left, which cancels this task.
+                await asyncio.sleep(_LATE_CLOSE_WAIT_S)
+            response = await self.handler(request)
+        except Exception:
+            _LOG.exception('Unexpected error while serving a request.')
+            response = self.listener.respond_to_error(
+                errors.ErrorKind.INTERNAL
+            )
+        finally:
+            self.listener.active_requests -= 1
+        if exchange.response is None:
+            self._complete(exchange, response)
+
+    def _complete(
+        self, exchange: _Exchange, response: http_messages.Response
+    ) -> None:
+        exchange.task = None
+        exchange.response = response
+        if response.closes_connection:
+            self.is_refusing = True
+        self._flush()
+
+    def _flush(self) -> None:
+        """Write the completed responses that are next in order."""
+        while self.exchanges:
+            exchange = self.exchanges[0]
+            if exchange.response is None:
+                break
+            self.exchanges.popleft()
+            if self.listener.is_stopping:
+                self.is_refusing = True
+            # For the client, requests after a closing response were not
+            # processed (RFC 9112, section 9.6), so all requests that have been
+            # read are answered before the connection is closed.
+            is_last = not self.exchanges and (
+                self.is_refusing or self.parser.is_stopped
+            )
+            self.transport.write(
+                http_messages.encode_response(
+                    exchange.response, exchange.is_head, is_last
+                )
+            )
+            self.last_active_at = clock.recent()
+            if is_last:
+                self._linger()
+                return
+            if self.has_waiting:
+                self._start_waiting_handler()
+        if self.unparsed:
+            self._parse_requests()
+
+    def _linger(self) -> None:
+        """Send the end of the stream; ignore what still arrives."""
+        self.parser.is_stopped = True
+        self.is_lingering = True
+        self.parser.request_started_at = 0.0
+        self.unparsed.clear()
+        # The client may have reset the connection.
+        with contextlib.suppress(OSError):
+            self.transport.write_eof()
+        self._update_reading()
+
+    def close_if_finished(self) -> None:
+        """Close the connection if no request and no response can be lost."""
+        if self.parser.request_started_at or self.exchanges:
+            return
+        if self._has_lingered(clock.recent()):
+            self.parser.is_stopped = True
+            self.transport.close()
+        elif not self.is_lingering:
+            # The last response may still be on its way.
+            self._linger()
+
+    def _has_lingered(self, now: float) -> bool:
+        return (
+            now - self.last_active_at > _LINGER_S
+            and not self.transport.get_write_buffer_size()
+        )
+
+    def _is_left_unread(self) -> bool:
+        """Return whether the client has left while reading is paused."""
+        if self.transport.is_closing() or self.transport.is_reading():
+            return False
+        poll = select.poll()
+        client_socket = self.transport.get_extra_info('socket')
+        poll.register(client_socket.fileno(), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def check_timeouts(self, now: float) -> None:
+        """Close the connection if it is idle or done, or headers are late.
+
+        A client that leaves while reading is paused is noticed here, too.
+        """
+        limits = self.listener.limits
+        if self._is_left_unread():
+            self._on_client_left()
+            self.transport.abort()
+        elif self.is_lingering:
+            if self._has_lingered(now):
+                self.transport.close()
+        elif self.parser.request_started_at:
+            if not self._may_parse():
+                # The rest of the headers may have arrived.
+                self.parser.request_started_at = now
+            elif self.parser.is_in_headers and (
+                now - self.parser.request_started_at > limits.header_timeout_s
+            ):
+                self.reject(errors.ErrorKind.HEADERS_LATE)
+        elif not self.exchanges and (
+            now - self.last_active_at > limits.idle_timeout_s
+        ):
+            self.parser.is_stopped = True
+            self.transport.close()
--- /dev/null
+++ b/godwitstall/http_parser.py
@@ -0,0 +1,219 @@
+"""Parses the requests of one connection, within the limits of its listener.
+
+Example:
+    parser = http_parser.RequestParser(listener.limits, connection)
+    parser.feed(data)
+"""
+
+import typing
+
+import httptools
+
+from godwitstall import clock
+from godwitstall import errors
+from godwitstall import http_messages
+from godwitstall import logs
+
+_LOG = logs.get('http')
+
+# The ': ' and the line end of a header line.
+_HEADER_LINE_OVERHEAD_BYTES = 4
+
+# A Content-Length with more digits is rejected without being converted.
+_MAX_CONTENT_LENGTH_DIGITS = 15
+
+_CHECKED_HEADERS = frozenset(
+    (b'content-length', b'expect', b'host', b'transfer-encoding')
+)
+_HTTP_VERSIONS = frozenset(('1.0', '1.1'))
+
+
+class Receiver(typing.Protocol):
+    """Gets the requests of a connection."""
+
+    def on_request(
+        self, request: http_messages.Request, closes_connection: bool
+    ) -> None:
+        """Receive a request; closes_connection if the client sends no more."""
+
+    def on_expect_continue(self) -> None:
+        """Tell the client to send the body of its request."""
+
+    def reject(self, kind: errors.ErrorKind) -> None:
+        """Receive the error of an invalid request."""
+
+
+class RequestParser:
+    """Parses bytes of a client and passes whole requests to a receiver.
+
+    It gets the limits as an object that can change, and is the protocol whose
+    callbacks httptools calls.
+    """
+
+    def __init__(
+        self, limits: http_messages.Limits, receiver: Receiver
+    ) -> None:
+        self.limits = limits
+        self.receiver = receiver
+        self.parser: typing.Any = httptools.HttpRequestParser(self)
+        # No more requests are passed on, because the connection is closing.
+        self.is_stopped = False
+        # When the first byte of the current request was read; 0 between
+        # requests.
+        self.request_started_at = 0.0
+        # Bytes received since the last request ended, until the headers of
+        # the next one are complete.
+        self.header_bytes = 0
+        self._reset()
+
+    def _reset(self) -> None:
+        self.url = b''
+        self.headers: http_messages.Headers = []
+        self.is_in_headers = True
+        # Whether the client waits for a response before it sends the body.
+        self.expects_continue = False
+        # Whether the client offers another protocol.
+        self.is_upgrade = False
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes, which may hold any part of any number of requests."""
+        if not self.request_started_at:
+            self.request_started_at = clock.recent()
+        if self.is_in_headers:
+            # The parser reports a header line only when it is complete, so its
+            # callbacks cannot limit an incomplete line.
+            self.header_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # Its request closes the connection.
+            pass
+        except httptools.HttpParserError as e:
+            if not self.is_stopped:
+                _LOG.info('Bad request: %s.', e)
+                self.receiver.reject(errors.ErrorKind.BAD_REQUEST)
+        if self.is_in_headers and self.header_bytes > (
+            self.limits.max_header_bytes
+        ):
+            self.receiver.reject(errors.ErrorKind.HEADERS_TOO_LARGE)
+
+    # Callbacks of httptools.HttpRequestParser.
+
+    def on_message_begin(self) -> None:
+        if self.is_stopped:
+            return
+        self._reset()
+        self.request_started_at = clock.recent()
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self.is_in_headers:
+            # Trailer fields must not be merged into the headers (RFC 9110,
+            # section 6.5.1).
+            return
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self.is_in_headers = False
+        if self.is_stopped:
+            return
+        if not self.url.startswith(b'/'):
+            self._use_origin_form()
+        problem = self._find_problem()
+        if problem is not None:
+            self.receiver.reject(problem)
+        elif self.expects_continue:
+            self.receiver.on_expect_continue()
+
+    def _use_origin_form(self) -> None:
+        """Split an absolute URL, as proxies get it, into host and path."""
+        if self.url == b'*':
+            return
+        try:
+            url = httptools.parse_url(self.url)
+        except httptools.HttpParserInvalidURLError:
+            self.url = b''
+            return
+        self.url = url.path or b''
+        if url.query:
+            self.url += b'?' + url.query
+        if url.host:
+            # It replaces the header (RFC 9112, section 3.2.2).
+            host = url.host + (b':%d' % url.port if url.port else b'')
+            headers = [(n, v) for n, v in self.headers if n != b'host']
+            self.headers = [(b'host', host), *headers]
+
+    def _find_problem(self) -> errors.ErrorKind | None:
+        """Return why the request cannot be served, None if it can."""
+        limits = self.limits
+        header_size = len(self.url)
+        host_count = 0
+        has_body = False
+        for name, value in self.headers:
+            header_size += len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
+            if name not in _CHECKED_HEADERS:
+                continue
+            if name == b'host':
+                host_count += 1
+            elif name == b'transfer-encoding':
+                has_body = True
+            elif name == b'expect':
+                self.expects_continue = value.lower() == b'100-continue'
+            else:
+                has_body = has_body or value != b'0'
+                if (
+                    len(value) > _MAX_CONTENT_LENGTH_DIGITS
+                    or int(value) > limits.max_body_bytes
+                ):
+                    return errors.ErrorKind.BODY_TOO_LARGE
+        if header_size > limits.max_header_bytes:
+            return errors.ErrorKind.HEADERS_TOO_LARGE
+        self.is_upgrade = self.parser.should_upgrade()
+        if (
+            # Another server on the path could use a different one of them.
+            host_count > 1
+            or not self.url
+            or not self.url.isascii()
+            or self.parser.get_http_version() not in _HTTP_VERSIONS
+            # The parser does not read the body of such a request.
+            or (self.is_upgrade and (has_body or self._is_connect()))
+        ):
+            return errors.ErrorKind.BAD_REQUEST
+        return None
+
+    def _is_connect(self) -> bool:
+        method: bytes = self.parser.get_method()
+        return method == b'CONNECT'
+
+    def on_body(self, body: bytes) -> None:
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.max_body_bytes:
+            self.receiver.reject(errors.ErrorKind.BODY_TOO_LARGE)
+            self.body.clear()
+        elif not self.is_stopped:
+            self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.request_started_at = 0.0
+        self.is_in_headers = True
+        self.header_bytes = 0
+        if self.is_stopped:
+            return
+        request = http_messages.Request(
+            self.parser.get_method().decode('ascii', 'replace'),
+            self.url.decode('latin-1'),
+            self.headers,
+            b''.join(self.body),
+            clock.recent(),
+        )
+        self.body = []
+        # The listener supports no other protocol, and the parser reads nothing
+        # behind an upgrade request.
+        closes_connection = (
+            self.is_upgrade or not self.parser.should_keep_alive()
+        )
+        self.receiver.on_request(request, closes_connection)
--- a/godwitstall/metrics_endpoint.py
+++ b/godwitstall/metrics_endpoint.py
@@ -3,7 +3,7 @@
 Example: listener.handlers['10.0.0.1:9464'] = metrics_endpoint.serve
 """
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import metrics
 
 PATH = '/metrics'
@@ -13,8 +13,8 @@
 _NOT_FOUND = 404
 
 
-async def serve(request: http_listener.Request) -> http_listener.Response:
+async def serve(request: http_messages.Request) -> http_messages.Response:
     """Return all metrics of this process in the Prometheus text format."""
     if request.target != PATH or request.method != 'GET':
-        return http_listener.Response(_NOT_FOUND)
-    return http_listener.Response(_OK, [_CONTENT_TYPE], metrics.render())
+        return http_messages.Response(_NOT_FOUND)
+    return http_messages.Response(_OK, [_CONTENT_TYPE], metrics.render())
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/entry.py
@@ -16,7 +16,7 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall import metrics
 from godwitstall.node import admission as admission_module
@@ -74,7 +74,7 @@
     received_at: float
 
     @classmethod
-    def from_http(cls, request: http_listener.Request) -> 'Request':
+    def from_http(cls, request: http_messages.Request) -> 'Request':
         """Return the request that a listener has received.
 
         Errors: RequestError of kind BAD_REQUEST if its path is unsafe.
@@ -153,22 +153,22 @@
         self.active = 0
 
     async def serve_caller(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         """Serve a request of a caller."""
         return await self._serve(request, self._admit_caller)
 
     async def serve_upstream(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         """Serve an announcement or onward call of the node's own upstream."""
         if request.target.partition('?')[0] == _ANNOUNCE_PATH:
             return await self._serve(request, self._handle_announcement)
         return await self._serve(request, self._admit_onward)
 
     async def _serve(
-        self, request: http_listener.Request, admit: _Admission
-    ) -> http_listener.Response:
+        self, request: http_messages.Request, admit: _Admission
+    ) -> http_messages.Response:
         self.active += 1
         try:
             answer = await admit(Request.from_http(request))
@@ -218,7 +218,7 @@
 
     def respond_to_error(
         self, kind: errors.ErrorKind
-    ) -> http_listener.Response:
+    ) -> http_messages.Response:
         """Return the response to a request that is served by no handler."""
         return build_response(
             dispatch.error_answer(self.admission.planned_stop.error(kind))
@@ -374,7 +374,7 @@
     )
 
 
-def build_response(answer: messages.Answer) -> http_listener.Response:
+def build_response(answer: messages.Answer) -> http_messages.Response:
     """Return the HTTP response for an answer."""
     added = [
         (headers.OUTCOME, answer.outcome.label.encode()),
@@ -383,7 +383,7 @@
     if answer.is_replayed:
         added.append((headers.REPLAYED, b'1'))
     if answer.kind is errors.ErrorKind.NONE:
-        return http_listener.Response(
+        return http_messages.Response(
             answer.status,
             added,
             answer.body,
@@ -407,4 +407,4 @@
             (headers.RETRY_AFTER, b'%d' % seconds),
             (headers.RETRY_AFTER_MS, b'%d' % answer.retry_after_ms),
         ]
-    return http_listener.Response(answer.status, added, body)
+    return http_messages.Response(answer.status, added, body)
--- a/godwitstall/node/gateway.py
+++ b/godwitstall/node/gateway.py
@@ -15,7 +15,7 @@
 from godwitstall import clock
 from godwitstall import decisions
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -79,8 +79,8 @@
         )
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         """Return the response to one request; errors are responses too."""
         route_name = ''
         try:
@@ -103,7 +103,7 @@
 
     def respond_to_error(
         self, kind: errors.ErrorKind
-    ) -> http_listener.Response:
+    ) -> http_messages.Response:
         """Return the response to a request that is served by no handler."""
         return self._build_response(
             dispatch.error_answer(self.admission.planned_stop.error(kind))
@@ -111,7 +111,7 @@
 
     def _log_request(
         self,
-        request: http_listener.Request,
+        request: http_messages.Request,
         route_name: str,
         answer: messages.Answer,
     ) -> None:
@@ -143,7 +143,7 @@
 
     def _log_cut(
         self,
-        request: http_listener.Request,
+        request: http_messages.Request,
         route_name: str,
         cancellation: asyncio.CancelledError,
     ) -> None:
@@ -160,7 +160,7 @@
             took_ms=round((clock.recent() - request.received_at) * 1000),
         )
 
-    def _match_route(self, request: http_listener.Request) -> messages.Route:
+    def _match_route(self, request: http_messages.Request) -> messages.Route:
         if self.view.index < 0 or not self.view.number:
             raise errors.RequestError(
                 errors.ErrorKind.CONTROL_LOST,
@@ -175,7 +175,7 @@
         return route
 
     async def _admit(
-        self, request: http_listener.Request, route: messages.Route
+        self, request: http_messages.Request, route: messages.Route
     ) -> messages.Answer:
         key = self._find_key(request, route)
         workspace = self.view.workspaces.get(key.workspace) if key else None
@@ -223,7 +223,7 @@
         )
 
     def _find_key(
-        self, request: http_listener.Request, route: messages.Route
+        self, request: http_messages.Request, route: messages.Route
     ) -> messages.Key | None:
         key = request.header(self.dialect.key)
         if not key:
@@ -237,7 +237,7 @@
 
     def _build_call(
         self,
-        request: http_listener.Request,
+        request: http_messages.Request,
         route: messages.Route,
         key: messages.Key | None,
         workspace: messages.Workspace | None,
@@ -276,7 +276,7 @@
         return call, request.received_at + deadline_ms / 1000
 
     def _deadline_ms(
-        self, request: http_listener.Request, max_deadline_ms: int
+        self, request: http_messages.Request, max_deadline_ms: int
     ) -> int:
         text = request.header(self.dialect.deadline_ms)
         if not text:
@@ -290,7 +290,7 @@
         return max(1, int(text))
 
     def _build_header_block(
-        self, request: http_listener.Request, workspace: str
+        self, request: http_messages.Request, workspace: str
     ) -> bytes:
         """Return the headers for the upstream, which never include a key."""
         dialect = self.dialect
@@ -309,9 +309,9 @@
 
     def _build_response(
         self, answer: messages.Answer
-    ) -> http_listener.Response:
+    ) -> http_messages.Response:
         if answer.kind is errors.ErrorKind.NONE:
-            return http_listener.Response(
+            return http_messages.Response(
                 answer.status, [], answer.body, encoded_headers=answer.headers
             )
         body = json.dumps(
@@ -326,7 +326,7 @@
         if answer.retry_after_ms and status in (429, 503):
             seconds = b'%.3f' % (answer.retry_after_ms / 1000)
             pairs.append((self.dialect.retry_after, seconds))
-        return http_listener.Response(status, pairs, body)
+        return http_messages.Response(status, pairs, body)
 
 
 def priority_of_rank(rank: int) -> messages.Priority:
--- a/tests/base/test_histograms.py
+++ b/tests/base/test_histograms.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import metrics
 from godwitstall import metrics_endpoint
 
@@ -42,8 +42,8 @@
 def test_only_the_metrics_path_is_served() -> None:
     """Guards against an endpoint that exposes more than the metrics."""
 
-    def get_response(method: str, target: str) -> http_listener.Response:
-        request = http_listener.Request(method, target, [], b'', 0.0)
+    def get_response(method: str, target: str) -> http_messages.Response:
+        request = http_messages.Request(method, target, [], b'', 0.0)
         return asyncio.run(metrics_endpoint.serve(request))
 
     metrics.gauge('test_value', 'Of this test.').set(3)
--- a/tests/listener/connections.py
+++ b/tests/listener/connections.py
@@ -7,12 +7,13 @@
 import struct
 
 from godwitstall import http_listener
+from godwitstall import http_messages
 from loadtool import addresses
 
 
 @contextlib.asynccontextmanager
 async def listening(
-    handler: http_listener.Handler,
+    handler: http_messages.Handler,
 ) -> collections.abc.AsyncIterator[tuple[http_listener.Listener, str]]:
     """Run a listener with one handler; yields it and its address."""
     address = addresses.free_address()
--- a/tests/listener/test_clients_that_leave.py
+++ b/tests/listener/test_clients_that_leave.py
@@ -10,7 +10,7 @@
 import pytest
 
 from godwitstall import event_loop
-from godwitstall import http_listener
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -28,15 +28,15 @@
         self.cancelled = 0
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         self.started += 1
         try:
             await asyncio.sleep(_TIMEOUT_S * 2)
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        return http_listener.Response(200)
+        return http_messages.Response(200)
 
 
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
@@ -99,10 +99,10 @@
         handler = _Handler()
 
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             if request.target == '/large':
-                return http_listener.Response(200, [], _LARGE_BODY)
+                return http_messages.Response(200, [], _LARGE_BODY)
             return await handler.serve(request)
 
         async with connections.listening(serve) as (listener, address):
@@ -126,11 +126,11 @@
         started: list[str] = []
 
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             started.append(request.target)
             await is_released.wait()
-            return http_listener.Response(200, [], request.target.encode())
+            return http_messages.Response(200, [], request.target.encode())
 
         async with connections.listening(serve) as (_, address):
             reader, writer = await connections.connect(address)
--- a/tests/listener/test_close_with_unread_answers.py
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -32,9 +32,9 @@
 
     async def scenario() -> None:
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
-            return http_listener.Response(200, [], _LARGE_BODY)
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(200, [], _LARGE_BODY)
 
         async with connections.listening(serve) as (listener, address):
             reader, writer = await connections.connect(address)
@@ -68,12 +68,12 @@
         arrivals: asyncio.Queue[asyncio.Event] = asyncio.Queue()
 
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             is_released = asyncio.Event()
             arrivals.put_nowait(is_released)
             await is_released.wait()
-            return http_listener.Response(200)
+            return http_messages.Response(200)
 
         async with connections.listening(serve) as (listener, address):
             reader, writer = await connections.connect(address)
--- a/tests/listener/test_cut_responses.py
+++ b/tests/listener/test_cut_responses.py
@@ -14,6 +14,7 @@
 import pytest
 
 from godwitstall import http_listener
+from godwitstall import http_messages
 from loadtool import addresses
 
 _TIMEOUT_S = 10.0
@@ -23,18 +24,18 @@
 _LARGE_BODY = b'x' * 16 * 1024 * 1024
 
 _SIGNED = b'x-id: 7\r\nx-signature: 3e1b.07\r\n'
-_RESPONSES: dict[str, http_listener.Response] = {
-    'of an upstream': http_listener.Response(
+_RESPONSES: dict[str, http_messages.Response] = {
+    'of an upstream': http_messages.Response(
         200, [], b'the own body', encoded_headers=_SIGNED
     ),
-    'empty': http_listener.Response(200, [], b'', encoded_headers=_SIGNED),
-    'error': http_listener.Response(502, [(b'retry-after', b'1')], b'{}'),
-    'no content': http_listener.Response(204, encoded_headers=_SIGNED),
-    'not modified': http_listener.Response(304, encoded_headers=_SIGNED),
+    'empty': http_messages.Response(200, [], b'', encoded_headers=_SIGNED),
+    'error': http_messages.Response(502, [(b'retry-after', b'1')], b'{}'),
+    'no content': http_messages.Response(204, encoded_headers=_SIGNED),
+    'not modified': http_messages.Response(304, encoded_headers=_SIGNED),
 }
 
 _Handler = collections.abc.Callable[
-    [http_listener.Request], collections.abc.Awaitable[http_listener.Response]
+    [http_messages.Request], collections.abc.Awaitable[http_messages.Response]
 ]
 
 
@@ -84,8 +85,8 @@
     """Guards against a body without a length, whose end cannot be missed."""
 
     async def handler(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
+        request: http_messages.Request,
+    ) -> http_messages.Response:
         return _RESPONSES[name]
 
     async def scenario() -> bytes:
@@ -115,9 +116,9 @@
     """
 
     async def handler(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
-        return http_listener.Response(200, [], _LARGE_BODY)
+        request: http_messages.Request,
+    ) -> http_messages.Response:
+        return http_messages.Response(200, [], _LARGE_BODY)
 
     async def scenario() -> None:
         async with _listening(handler) as (listener, reader, writer):
@@ -142,12 +143,12 @@
     is_done = asyncio.Event()
 
     async def handler(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
+        request: http_messages.Request,
+    ) -> http_messages.Response:
         targets.append(request.target)
         if request.target == '/slow':
             await is_done.wait()
-        return http_listener.Response(200, [], request.target.encode())
+        return http_messages.Response(200, [], request.target.encode())
 
     async def scenario() -> None:
         async with _listening(handler) as (listener, reader, writer):
--- a/tests/listener/test_discarded_bytes.py
+++ b/tests/listener/test_discarded_bytes.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from godwitstall import http_listener
+from godwitstall import http_connection
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -10,7 +11,7 @@
 
 
 def _discarded(is_answered: str) -> float:
-    return http_listener._DISCARDED_BYTES.value(is_answered=is_answered)
+    return http_connection._DISCARDED_BYTES.value(is_answered=is_answered)
 
 
 def test_bytes_behind_the_last_response_are_counted() -> None:
@@ -20,10 +21,10 @@
         is_released = asyncio.Event()
 
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             await is_released.wait()
-            return http_listener.Response(200)
+            return http_messages.Response(200)
 
         async with connections.listening(serve) as (listener, address):
             reader, writer = await connections.connect(address)
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -28,13 +28,13 @@
         is_second_done = asyncio.Event()
 
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             if request.target == '/1':
                 await is_second_done.wait()
             else:
                 is_second_done.set()
-            return http_listener.Response(200, [], request.target.encode())
+            return http_messages.Response(200, [], request.target.encode())
 
         async with connections.listening(handler) as (_, address):
             response = await _exchange(
@@ -56,15 +56,15 @@
         is_cancelled = asyncio.Event()
 
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             is_started.set()
             try:
                 await asyncio.sleep(_TIMEOUT_S)
             except asyncio.CancelledError:
                 is_cancelled.set()
                 raise
-            return http_listener.Response(200)
+            return http_messages.Response(200)
 
         async with connections.listening(handler) as (_, address):
             _, writer = await connections.connect(address)
@@ -87,10 +87,10 @@
 
     async def scenario() -> None:
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             handled_targets.append(request.target)
-            return http_listener.Response(
+            return http_messages.Response(
                 200, [], b'', closes_connection=request.target == '/1'
             )
 
@@ -140,8 +140,8 @@
 
     async def scenario() -> None:
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             raise AssertionError('must not be served')
 
         async with connections.listening(handler) as (listener, address):
@@ -158,8 +158,8 @@
 
     async def scenario() -> None:
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             raise AssertionError('must not be served')
 
         async with connections.listening(handler) as (listener, address):
@@ -177,10 +177,10 @@
         is_released = asyncio.Event()
 
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
+            request: http_messages.Request,
+        ) -> http_messages.Response:
             await is_released.wait()
-            return http_listener.Response(200)
+            return http_messages.Response(200)
 
         async with connections.listening(serve) as (listener, address):
             listener.limits.header_timeout_s = 0.1
@@ -207,9 +207,9 @@
 
     async def scenario() -> None:
         async def handler(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
-            return http_listener.Response(204)
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(204)
 
         async with connections.listening(handler) as (listener, address):
             listener.limits.idle_timeout_s = 0.01
@@ -242,10 +242,10 @@
             return b'refused'
 
     async def handler(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
+        request: http_messages.Request,
+    ) -> http_messages.Response:
         await asyncio.sleep(0)
-        return http_listener.Response(200, [], b'whole')
+        return http_messages.Response(200, [], b'whole')
 
     async def scenario() -> None:
         async with connections.listening(handler) as (listener, address):
@@ -271,11 +271,11 @@
     handled_targets: list[str] = []
 
     async def handler(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
+        request: http_messages.Request,
+    ) -> http_messages.Response:
         handled_targets.append(request.target)
         await asyncio.sleep(0.05)
-        return http_listener.Response(200, [], b'done')
+        return http_messages.Response(200, [], b'done')
 
     async def scenario() -> None:
         async with connections.listening(handler) as (listener, address):
--- a/tests/listener/test_pipelined_close.py
+++ b/tests/listener/test_pipelined_close.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -28,8 +28,8 @@
         self.closes_after_first = False
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         self.started.append(request.target)
         try:
             await self.is_released.wait()
@@ -39,7 +39,7 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return http_listener.Response(
+        return http_messages.Response(
             200,
             [],
             b'answer to ' + request.target.encode(),
@@ -119,9 +119,9 @@
 
     async def scenario() -> None:
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
-            return http_listener.Response(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(
                 200, [], body, closes_connection=True
             )
 
--- a/tests/listener/test_random_connections.py
+++ b/tests/listener/test_random_connections.py
@@ -15,7 +15,8 @@
 import pytest
 
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_connection
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 20.0
@@ -32,8 +33,8 @@
 )
 
 
-def _respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
-    return http_listener.Response(
+def _respond_to_error(kind: errors.ErrorKind) -> http_messages.Response:
+    return http_messages.Response(
         errors.ANSWERS[kind].status, [], kind.label.encode()
     )
 
@@ -47,8 +48,8 @@
         self.completed: set[str] = set()
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         name, delay_ms, size, _ = request.target[1:].split('/')
         assert name not in self.started
         self.started.add(name)
@@ -59,7 +60,7 @@
         finally:
             self.running.discard(name)
         body = f'{name};'.encode()
-        return http_listener.Response(200, [], body + b'x' * int(size))
+        return http_messages.Response(200, [], body + b'x' * int(size))
 
 
 @dataclasses.dataclass
@@ -152,7 +153,7 @@
 
 
 def _discarded_unanswered() -> float:
-    return http_listener._DISCARDED_BYTES.value(is_answered='false')
+    return http_connection._DISCARDED_BYTES.value(is_answered='false')
 
 
 async def _until(condition: collections.abc.Callable[[], bool]) -> None:
--- a/tests/listener/test_request_limits.py
+++ b/tests/listener/test_request_limits.py
@@ -11,6 +11,7 @@
 
 from godwitstall import errors
 from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import link
 from godwitstall.node import dispatch
 from godwitstall.node import entry
@@ -35,12 +36,12 @@
         self.can_respond.set()
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         self.bodies.append(request.body)
         self.headers = request.headers
         await self.can_respond.wait()
-        return http_listener.Response(200, [], request.body)
+        return http_messages.Response(200, [], request.body)
 
 
 @dataclasses.dataclass
@@ -86,13 +87,13 @@
 ]
 
 
-def _respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
+def _respond_to_error(kind: errors.ErrorKind) -> http_messages.Response:
     answer = dispatch.error_answer(errors.RequestError(kind))
     return entry.build_response(answer)
 
 
 def _run(
-    handler: http_listener.Handler,
+    handler: http_messages.Handler,
     check: _Check,
     max_body_bytes: int = 1024 * 1024,
 ) -> None:
@@ -438,13 +439,13 @@
 
     The host in the URL replaces the header (RFC 9112, section 3.2.2).
     """
-    requests: list[http_listener.Request] = []
+    requests: list[http_messages.Request] = []
 
     async def serve(
-        request: http_listener.Request,
-    ) -> http_listener.Response:
+        request: http_messages.Request,
+    ) -> http_messages.Response:
         requests.append(request)
-        return http_listener.Response(200)
+        return http_messages.Response(200)
 
     async def check(connect: typing.Any) -> None:
         connection = await connect()
--- a/tests/listener/test_requests_behind_a_close.py
+++ b/tests/listener/test_requests_behind_a_close.py
@@ -10,7 +10,8 @@
 import pytest
 
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_connection
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -21,8 +22,8 @@
     return f'GET {target} HTTP/1.1\r\nhost: a\r\n{headers}\r\n'.encode()
 
 
-def _respond_to_error(kind: errors.ErrorKind) -> http_listener.Response:
-    return http_listener.Response(
+def _respond_to_error(kind: errors.ErrorKind) -> http_messages.Response:
+    return http_messages.Response(
         errors.ANSWERS[kind].status, [(b'retry-after', _RETRY_AFTER)]
     )
 
@@ -36,11 +37,11 @@
         self.closing_target = ''
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         self.started.append(request.target)
         await self._event(request.target).wait()
-        return http_listener.Response(
+        return http_messages.Response(
             200,
             [],
             request.target.encode(),
@@ -208,8 +209,8 @@
 
 def test_requests_refused_behind_a_close_are_counted() -> None:
     """Guards against refusals of a stop that no metric shows."""
-    before = http_listener._REFUSED_REQUESTS.value()
+    before = http_connection._REFUSED_REQUESTS.value()
     asyncio.run(
         _send_behind_a_close(_Handler(), 'planned stop', [_get('/late') * 3])
     )
-    assert http_listener._REFUSED_REQUESTS.value() == before + 3
+    assert http_connection._REFUSED_REQUESTS.value() == before + 3
--- a/tests/listener/test_requests_cut_by_a_stop.py
+++ b/tests/listener/test_requests_cut_by_a_stop.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
@@ -30,8 +30,8 @@
         self.cancelled: list[str] = []
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         if request.target == '/endless':
             try:
                 await asyncio.sleep(_TIMEOUT_S * 2)
@@ -39,7 +39,7 @@
                 self.cancelled.append(request.target)
                 raise
         self.completed.append(request.target)
-        return http_listener.Response(200, [], b'answer of the handler')
+        return http_messages.Response(200, [], b'answer of the handler')
 
 
 async def _close_behind(requests: bytes, handler: _Handler) -> bytes:
@@ -132,9 +132,9 @@
 
     async def scenario() -> int:
         async def serve(
-            request: http_listener.Request,
-        ) -> http_listener.Response:
-            return http_listener.Response(200, [], body)
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(200, [], body)
 
         async with connections.listening(serve) as (listener, address):
             reader, writer = await connections.connect(address)
--- a/tests/node/test_cut_requests.py
+++ b/tests/node/test_cut_requests.py
@@ -9,7 +9,8 @@
 import pytest
 
 from godwitstall import decisions
-from godwitstall import http_listener
+from godwitstall import http_connection
+from godwitstall import http_messages
 from godwitstall.node import gateway
 from tests import gateways
 
@@ -25,11 +26,11 @@
     os.close(writer)
 
 
-@pytest.mark.parametrize('reason', http_listener.CutReason)
+@pytest.mark.parametrize('reason', http_connection.CutReason)
 def test_cut_request_is_logged_with_its_reason(
     output: int,
     monkeypatch: pytest.MonkeyPatch,
-    reason: http_listener.CutReason,
+    reason: http_connection.CutReason,
 ) -> None:
     """Guards against a request that is lost without a trace in the log."""
 
@@ -39,7 +40,7 @@
     monkeypatch.setattr(gateway.Gateway, '_match_route', _match_no_route)
     monkeypatch.setattr(gateway.Gateway, '_admit', never_admit)
     node = gateways.make_node('siop')
-    request = http_listener.Request(
+    request = http_messages.Request(
         'GET',
         '/a/1',
         [(gateways.DIALECT.attempt_id, b'4711')],
--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -15,7 +15,7 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall.node import announcements
 from godwitstall.node import gateway_node
@@ -51,14 +51,14 @@
         self.received: list[str] = []
 
     async def serve(
-        self, request: http_listener.Request
-    ) -> http_listener.Response:
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         self.received.append(request.target)
         if request.target == _FIRST:
             await self.is_released.wait()
         if request.target == _SECOND:
             await self.is_second_released.wait()
-        return http_listener.Response(
+        return http_messages.Response(
             200,
             [
                 (
--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -17,7 +17,7 @@
 from godwitstall import clock
 from godwitstall import codec
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall.node import announcements
 from godwitstall.node import gateway_node
@@ -403,11 +403,11 @@
         for node in self.nodes.values():
             node.view.apply(update)
 
-    async def call(self, request_id: bytes) -> http_listener.Response:
+    async def call(self, request_id: bytes) -> http_messages.Response:
         """Send a request of a client to node a."""
         pairs = [(b'host', b'a'), (gateways.DIALECT.attempt_id, request_id)]
         return await self.nodes['a'].gateway.serve(
-            http_listener.Request('GET', '/1', pairs, b'', clock.now())
+            http_messages.Request('GET', '/1', pairs, b'', clock.now())
         )
 
     def runs(self, request_id: bytes) -> int:
@@ -420,7 +420,7 @@
 
 async def _check_caller(
     upstream: _Upstream, is_idempotent: bool, has_other: bool
-) -> http_listener.Response:
+) -> http_messages.Response:
     """Check what callers are told; return the response to the second."""
     fleet = _Fleet(upstream, is_idempotent)
     if has_other:
--- a/tests/platform/harnesses.py
+++ b/tests/platform/harnesses.py
@@ -8,7 +8,7 @@
 from adapter import node as node_adapter
 
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall.members import registry
 from godwitstall import messages
 from godwitstall.node import gateway_node
@@ -73,7 +73,7 @@
         )
 
     def call(self, target: str, body: bytes = b'') -> int:
-        request = http_listener.Request('POST', target, [], body, 0.0)
+        request = http_messages.Request('POST', target, [], body, 0.0)
         return self.runner.run(self.adapter.serve_call(request)).status
 
     def drains(self) -> list[int]:
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -9,7 +9,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from loadtool import addresses
 from tests import gateways
@@ -40,7 +40,7 @@
 
 
 def _serve(adapter: node_adapter.NodeApi, target: str, body: bytes) -> int:
-    request = http_listener.Request('POST', target, [], body, 0.0)
+    request = http_messages.Request('POST', target, [], body, 0.0)
     return asyncio.run(adapter.serve_call(request)).status
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -17,7 +17,7 @@
 import pytest
 
 from godwitstall import codec
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from tests.platform import harnesses
 
@@ -243,7 +243,7 @@
     """Guards against an order that is answered with 500 and sent again."""
     service: typing.Any = None
     adapter = control_adapter.OperatorApi(service)
-    request = http_listener.Request(
+    request = http_messages.Request(
         'POST', '/-/rpc?call=configuration.replace', [], body, 0.0
     )
     response = asyncio.run(adapter.serve(request))
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -14,6 +14,7 @@
 from adapter import programs
 
 from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall import settings
 from loadtool import addresses
@@ -22,7 +23,7 @@
 _KEY = 'a-key'
 _CALL_TARGET = '/-/rpc?call='
 
-_Requests = list[http_listener.Request]
+_Requests = list[http_messages.Request]
 
 
 def _manifest(version: int, base: int) -> bytes:
@@ -119,9 +120,9 @@
         async with asyncio.timeout(_WAIT_S):
             await asyncio.gather(*self.tasks)
 
-    async def upstream(self, request: http_listener.Request) -> typing.Any:
+    async def upstream(self, request: http_messages.Request) -> typing.Any:
         self.received.append(request)
-        return http_listener.Response(
+        return http_messages.Response(
             200,
             [
                 (b'server-signature', b's'),
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -22,7 +22,7 @@
 from godwitstall import clock
 from godwitstall import codec
 from godwitstall import errors
-from godwitstall import http_listener
+from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall.node import announcements
 from godwitstall.node import gateway_node
@@ -311,7 +311,7 @@
         node = self.nodes[entry]
         number = self.add_request(entry)
         response = await node.gateway.serve(
-            http_listener.Request(
+            http_messages.Request(
                 'GET',
                 f'/{service}/{number}',
                 [
@@ -325,7 +325,7 @@
         if self.nodes.get(entry) is node:
             self._record(number, response)
 
-    def _record(self, number: int, response: http_listener.Response) -> None:
+    def _record(self, number: int, response: http_messages.Response) -> None:
         process, sent_at = self.sent[number]
         self.statuses[response.status] += 1
         headers = _parse(response.encoded_headers)
