Answer what has been received before the last response is written

What callers saw: with as many requests pending as a connection may have, the listener keeps what it receives and does not parse it. A stop then wrote the last response with the close and dropped what it kept, up to seconds old. Only what is parsed was refused. Change: before the last response is written, what has been received is parsed and refused.

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -294,6 +294,15 @@
         else:
             self.has_waiting = False
 
+    def _refuse_unparsed(self) -> None:
+        """Parse and refuse what has been received before the last response.
+
+        The limit of pending requests does not apply, as none is handled.
+        """
+        data = bytes(self.unparsed)
+        self.unparsed.clear()
+        self.parser.feed(data)
+
     async def _serve(
         self,
         exchange: _Exchange,
@@ -331,9 +340,12 @@
             exchange = self.exchanges[0]
             if exchange.response is None:
                 break
-            self.exchanges.popleft()
             if self.listener.is_stopping:
                 self.is_refusing = True
+            if self.is_refusing and self.unparsed and len(self.exchanges) == 1:
+                self._refuse_unparsed()
+                continue
+            self.exchanges.popleft()
             # For the client, requests after a closing response were not
             # processed (RFC 9112, section 9.6), so all requests that have been
             # read are answered before the connection is closed.
--- a/tests/listener/test_requests_behind_a_close.py
+++ b/tests/listener/test_requests_behind_a_close.py
@@ -61,7 +61,7 @@
 
 
 async def _send_behind_a_close(
-    handler: _Handler, cause: str, late: list[bytes]
+    handler: _Handler, cause: str, late: list[bytes], limit: int = 32
 ) -> list[bytes]:
     """Send requests behind a response that is to close the connection.
 
@@ -69,6 +69,7 @@
     """
     async with connections.listening(handler.serve) as (listener, address):
         listener.respond_to_error = _respond_to_error
+        listener.limits.max_pipelined_requests = limit
         reader, writer = await connections.connect(address)
         writer.write(_get('/1') + _get('/2'))
         await handler.wait_until_started(2)
@@ -118,6 +119,30 @@
     _assert_answered(handler, responses, late_count)
 
 
+@pytest.mark.parametrize('limit', [2, 32])
+def test_requests_beyond_the_limit_of_pending_ones_get_an_answer(
+    limit: int,
+) -> None:
+    """Guards against requests dropped because too many were pending.
+
+    The listener has received them and has not parsed them yet.
+    """
+    late_count = 15
+    body = b'x' * 3000
+    request = (
+        f'POST /late HTTP/1.1\r\nhost: a\r\ncontent-length: {len(body)}'
+        '\r\n\r\n'.encode()
+        + body
+    )
+    handler = _Handler()
+    responses = asyncio.run(
+        _send_behind_a_close(
+            handler, 'planned stop', [request * late_count], limit
+        )
+    )
+    _assert_answered(handler, responses, late_count)
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_request_in_pieces_behind_a_pending_close_gets_an_answer(
     seed: int,
