End the stream of a half-read request before its connection is closed

What callers saw: at the end of a stop a connection with a request that was not read to its end was closed at once. The kernel resets a connection that is closed while bytes arrive, and a reset discards a response on its way. Measured: test_request_that_is_half_read_at_the_end_hears_of_the_close failed before (the transport was closing when the end of the stream came), passes now; tests/listener passes (163).

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -165,6 +165,9 @@
                 exchange.request = None
             exchange.response = self.listener.respond_to_error(kind)
         self._flush()
+        if not self.is_lingering:
+            # No response was due, but one may be on its way.
+            self._linger()
 
     def close(self) -> None:
         """Cut the pending requests and close the connection."""
--- a/tests/listener/test_requests_cut_by_a_stop.py
+++ b/tests/listener/test_requests_cut_by_a_stop.py
@@ -126,6 +126,40 @@
     assert asyncio.run(scenario()).startswith(b'HTTP/1.1 504 ')
 
 
+def test_request_that_is_half_read_at_the_end_hears_of_the_close() -> None:
+    """Guards against a reset behind a request that is not read to its end.
+
+    The kernel resets a connection that is closed while bytes arrive, and a
+    reset discards responses that are on their way.
+    """
+
+    async def scenario() -> bytes:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(_GET_SHORT)
+            async with asyncio.timeout(_TIMEOUT_S):
+                received = await reader.readuntil(b'answer of the handler')
+                writer.write(b'POST /half HTTP/1.1\r\nhost: a\r\n')
+                (connection,) = listener.connections
+                while not connection.parser.request_started_at:
+                    await asyncio.sleep(0.01)
+                is_closed = asyncio.create_task(
+                    listener.close_gracefully(_CLOSE_TIMEOUT_S)
+                )
+                # The end of the stream comes before the close.
+                received += await reader.read()
+                assert not is_closed.done()
+                assert not connection.transport.is_closing()
+                writer.write(b'content-length: 0\r\n\r\n')
+                await is_closed
+            writer.close()
+        assert handler.completed == ['/short']
+        return received
+
+    assert asyncio.run(scenario()).count(b'HTTP/1.1 ') == 1
+
+
 def test_graceful_close_waits_until_a_client_that_is_late_has_read() -> None:
     """Guards against a process that exits with responses in its buffers."""
     body = b'x' * 8_000_000
