Word comments in the usual terms

Cause: ten comments and doc comments had words that are not of the field. Change: wording only, no code.

--- a/godwitstall/configuration/state.py
+++ b/godwitstall/configuration/state.py
@@ -1,8 +1,8 @@
 """Replicated configuration: the current one and the accepted notes.
 
 When operators race, the number of a note decides: the first note in the log
-with the next number is accepted, and the sender of another one is told whose
-note has the number.
+with the next number is accepted, and the reply to another one names the sender
+of the accepted note.
 """
 
 from godwitstall.configuration import note as notes
--- a/godwitstall/control/sessions.py
+++ b/godwitstall/control/sessions.py
@@ -78,7 +78,7 @@
         self.barrier = barrier
         self.by_link: dict[link_module.Link, Session] = {}
         self.state_changed = asyncio.Event()
-        # Whether heartbeat replies tell nodes to use another replica.
+        # Whether heartbeat replies ask nodes to use another replica.
         self.is_stopping = False
         # Encoded updates to encoded_index, by the index that they start from.
         self.encoded_updates: dict[int, bytes] = {}
--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -37,7 +37,7 @@
         """Receive a request; closes_connection if the client sends no more."""
 
     def on_expect_continue(self) -> None:
-        """Tell the client to send the body of its request."""
+        """Ask the client for the body of its request."""
 
     def reject(self, kind: errors.ErrorKind) -> None:
         """Receive the error of an invalid request."""
--- a/godwitstall/limits/upstream_rate.py
+++ b/godwitstall/limits/upstream_rate.py
@@ -89,7 +89,7 @@
             self._remove_limit()
 
     def is_known(self) -> bool:
-        """Return whether an answer or another node told about the limit."""
+        """Return whether the limit is known, or known to be absent."""
         return math.isfinite(self.answered_at) or self.is_limited()
 
     def adopt(self, limit: float, now: float) -> None:
--- a/godwitstall/node/dialect.py
+++ b/godwitstall/node/dialect.py
@@ -34,7 +34,7 @@
     retry_after: bytes
     # Statuses that differ from those of errors.ANSWERS.
     statuses: dict[errors.ErrorKind, int]
-    # Statuses that tell a caller that its request was not run.
+    # Statuses which mean that the request was not run.
     not_run_statuses: frozenset[int] = frozenset((408, 421, 429, 503))
     # Headers with which an upstream describes itself.
     status_names: upstream_status.Names = upstream_status.DEFAULT_NAMES
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -1,8 +1,8 @@
 """A node that serves callers by the HTTP conventions of their mesh.
 
-The gateway serves the callers; is_ready() tells a readiness endpoint whether
-they should use this node. Other endpoints that the mesh requires, such as the
-one for upstream announcements, are added as HTTP handlers.
+The gateway serves the callers; is_ready() is for a readiness endpoint. Other
+endpoints that the mesh requires, such as the one for upstream announcements,
+are added as HTTP handlers.
 """
 
 import asyncio
@@ -108,11 +108,12 @@
     async def stop(self) -> None:
         """Stop as planned.
 
-        The readiness endpoint tells callers to use other nodes; the listener
-        stays open until they do. Requests that come later are accepted only if
-        they end before the stop does. The node stops once it has been idle for
-        a while, or when the time for the planned stop is over. Requests that
-        are still running then get a response with an unknown outcome.
+        The node is not ready any more, so that callers use other nodes; the
+        listener stays open until they do. Requests that come later are
+        accepted only if they end before the stop does. The node stops once it
+        has been idle for a while, or when the time for the planned stop is
+        over. Requests that are still running then get a response with an
+        unknown outcome.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
         end = clock.now() + self.options.planned_stop_s()
--- a/godwitstall/rates/ledger.py
+++ b/godwitstall/rates/ledger.py
@@ -219,7 +219,7 @@
         if released <= 0:
             return
         self.level += min(want.returned, released)
-        # The request does not tell which grants were spent. The newest grants
+        # The request does not say which grants were spent. The newest grants
         # are kept, because they expire last.
         while released > 0:
             batch = holder.batches[0]
--- a/godwitstall/routing/notices.py
+++ b/godwitstall/routing/notices.py
@@ -1,4 +1,4 @@
-"""What this node was told by upstreams in the answers that it passed on.
+"""What upstreams have announced in the answers that this node relayed.
 
 An owner node that starts again knows nothing of the answers before, and
 control may not have heard of them. The nodes that passed on such answers
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -96,7 +96,7 @@
         self._own_zone = own_zone
         self._random = random
         self._stats: dict[messages.NodeId, _MemberStats] = {}
-        # What upstreams told this node in their answers.
+        # What upstreams have announced in their answers.
         self.notices = notices_module.Notices()
         # Members that accept work, by service: own zone, other zones.
         self._candidate_cache: dict[
