Build the refusal of a stop when it is written

What callers saw: a refusal that waited behind a running request named the time that was left when the request was read, by seconds too long (review of: 0.988 s announced, 0.487 s left). Cause: the response was built when the request was read. Change: the exchange is marked, and its response is built in its turn. What a stop cuts before its handler starts goes the same way. The tests of the limits wait for the mark instead of the response. Measured: test_refusal_that_waits_for_its_turn_is_built_when_it_is_written failed before; tests/listener passes with it (170).

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -75,6 +75,9 @@
     request: http_messages.Request | None = None
     # None until the handler has returned or the request has been cut.
     response: http_messages.Response | None = None
+    # Whether the request gets the response of a stop. It is built when it is
+    # written, as the time that it names counts from then.
+    is_refused: bool = False
     # A response to HEAD has no body.
     is_head: bool = False
     task: asyncio.Task[None] | None = None
@@ -159,14 +162,13 @@
         self.parser.is_stopped = True
         self._cancel_handlers(CutReason.LISTENER_CLOSED)
         for exchange in self.exchanges:
-            if exchange.response is not None:
-                continue
-            kind = errors.ErrorKind.CUT_BY_STOP
             if exchange.request is not None:
-                kind = errors.ErrorKind.STOPPING
                 # Its handler must not be started any more.
-                exchange.request = None
-            exchange.response = self.listener.respond_to_error(kind)
+                self._refuse(exchange)
+            elif exchange.response is None and not exchange.is_refused:
+                exchange.response = self.listener.respond_to_error(
+                    errors.ErrorKind.CUT_BY_STOP
+                )
         self._flush()
         if not self.is_lingering:
             # No response was due, but one may be on its way.
@@ -279,9 +281,7 @@
         """
         _REFUSED_REQUESTS.inc()
         exchange.request = None
-        exchange.response = self.listener.respond_to_error(
-            errors.ErrorKind.STOPPING
-        )
+        exchange.is_refused = True
 
     def _start_handler(self, exchange: _Exchange) -> None:
         assert exchange.request is not None
@@ -344,6 +344,10 @@
         """Write the completed responses that are next in order."""
         while self.exchanges:
             exchange = self.exchanges[0]
+            if exchange.is_refused and exchange.response is None:
+                exchange.response = self.listener.respond_to_error(
+                    errors.ErrorKind.STOPPING
+                )
             if exchange.response is None:
                 break
             if self.listener.is_stopping:
--- a/tests/listener/test_limits_of_refusals.py
+++ b/tests/listener/test_limits_of_refusals.py
@@ -69,7 +69,7 @@
                 (connection,) = listener.connections
                 writer.write(late)
                 await _until(
-                    lambda: any(e.response for e in connection.exchanges)
+                    lambda: any(e.is_refused for e in connection.exchanges)
                 )
                 await asyncio.sleep(0.1)
                 self.pending = len(connection.exchanges)
--- a/tests/listener/test_requests_behind_a_close.py
+++ b/tests/listener/test_requests_behind_a_close.py
@@ -239,3 +239,42 @@
         _send_behind_a_close(_Handler(), 'planned stop', [_get('/late') * 3])
     )
     assert http_connection._REFUSED_REQUESTS.value() == before + 3
+
+
+def test_refusal_that_waits_for_its_turn_is_built_when_it_is_written() -> None:
+    """Guards against a Retry-After that counts from before it was sent.
+
+    The refusal waits behind a request that is still running. Its client would
+    stay away for as long again.
+    """
+
+    async def scenario() -> bytes:
+        handler = _Handler()
+
+        def respond_to_error(
+            kind: errors.ErrorKind,
+        ) -> http_messages.Response:
+            is_due = handler.released['/2'].is_set()
+            return http_messages.Response(
+                errors.ANSWERS[kind].status, [], b'due' if is_due else b'early'
+            )
+
+        async with connections.listening(handler.serve) as (listener, address):
+            listener.respond_to_error = respond_to_error
+            reader, writer = await connections.connect(address)
+            writer.write(_get('/1') + _get('/2'))
+            await handler.wait_until_started(2)
+            listener.is_stopping = True
+            handler.release('/1')
+            async with asyncio.timeout(_TIMEOUT_S):
+                received = await reader.readuntil(b'/1')
+                writer.write(_get('/late'))
+                await asyncio.sleep(0.05)
+                handler.release('/2')
+                received += await reader.read()
+            writer.close()
+        return received
+
+    received = asyncio.run(scenario())
+    assert received.count(b'HTTP/1.1 503 ') == 1
+    assert received.endswith(b'due')
