Let a refused request return at once while the node accepts connections

What callers saw: a request refused because its connection was about to close was told to come back when the next process is there (18.4 s in the test), while the node served it on another connection at once. Cause: the time of the refusal was that of a stop which the request outlasts, and here only the connection ends. Change: such a refusal names 10 ms as long as the node accepts connections. PlannedStop.check then decides by the deadline, and names the time of the next process if the request cannot end before. Once the listening sockets are closed the time of the next process is named. Measured: test_refusal_lets_a_client_return_at_once_to_a_node_that_accepts_it failed before (18.36 s against 2 s), passes now; test_late_requests_in_a_stop.py and test_planned_stop.py pass (17).

--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -130,6 +130,7 @@
                 break
             await asyncio.sleep(_POLL_INTERVAL_S)
         self._log_stop('stop_closing', end)
+        self.owner.planned_stop.is_accepting = False
         # Requests that were accepted last are answered too.
         await self.listener.close_gracefully(max(end - clock.now(), 0.0))
         await self.finish_calls(end)
--- a/godwitstall/node/planned_stop.py
+++ b/godwitstall/node/planned_stop.py
@@ -27,6 +27,9 @@
 # Time from the end of a stop until the next process accepts requests, seconds.
 _RESTART_S = 0.5
 
+# Delay before a request returns on another connection, milliseconds.
+_RECONNECT_MS = 10
+
 
 class PlannedStop:
     """The end of a planned stop; a node that is not stopping has none."""
@@ -34,6 +37,8 @@
     def __init__(self) -> None:
         # Time at which the node cuts what is left, seconds of clock.now().
         self.end = math.inf
+        # Whether the node accepts connections.
+        self.is_accepting = True
 
     def set_end(self, end: float) -> None:
         """Accept only requests whose deadlines are before this time."""
@@ -63,11 +68,16 @@
     def error(self, kind: errors.ErrorKind) -> errors.RequestError:
         """Return the error of a request that reaches no handler.
 
-        One that the stop refuses has the time until the next process.
+        One that is refused because its connection is about to close may return
+        at once, as long as the node accepts connections; check() then decides
+        by its deadline. After that the next process has to start first.
         """
         if kind is not errors.ErrorKind.STOPPING:
             return errors.RequestError(kind)
-        return errors.RequestError(kind, retry_after_ms=self.retry_after_ms())
+        retry_after_ms = (
+            _RECONNECT_MS if self.is_accepting else self.retry_after_ms()
+        )
+        return errors.RequestError(kind, retry_after_ms=retry_after_ms)
 
     def retry_after_ms(self) -> int:
         """Return the time until the next process; 0 without an end."""
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -117,6 +117,7 @@
         self.owner.planned_stop.set_end(deadline)
         # New calls must not use up the time left for the running requests, so
         # new connections are refused and callers connect to another node.
+        self.owner.planned_stop.is_accepting = False
         await self.listener.stop_accepting(self.options.caller_address)
         last_request_until = clock.now() + _LAST_REQUEST_WAIT_S
         while clock.now() < deadline and (
--- a/tests/node/test_late_requests_in_a_stop.py
+++ b/tests/node/test_late_requests_in_a_stop.py
@@ -221,6 +221,11 @@
         return b'', b''
 
 
+def _retry_after_s(head: bytes) -> float:
+    _, _, rest = head.partition(b'\r\nretry-after: ')
+    return float(rest.partition(b'\r\n')[0])
+
+
 async def _no_settle_time() -> None:
     """Replace leave_and_settle(); control cannot be reached."""
 
@@ -299,6 +304,42 @@
     _run(check, monkeypatch)
 
 
+def test_refusal_lets_a_client_return_at_once_to_a_node_that_accepts_it(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a Retry-After of the stop where a connection is due.
+
+    The request ends before the stop does, and the node serves it on another
+    connection at once.
+    """
+
+    async def check(stopping: _Stopping) -> None:
+        address = stopping.node.options.caller_address
+        reader, writer = await connections.connect(address)
+        writer.write(_encode(_SECOND) + _encode(_FIRST))
+        async with asyncio.timeout(_TIMEOUT_S):
+            await _until(lambda: len(stopping.upstream.received) == 3)
+            await stopping.end_settle_time()
+            stopping.upstream.is_second_released.set()
+            await _read_response(reader)
+            writer.write(_encode('/short/late'))
+            # The node reads the request before the last response.
+            await asyncio.sleep(0.1)
+            other_reader, other_writer = await connections.connect(address)
+            other_writer.write(_encode('/short/other'))
+            served, _ = await _read_response(other_reader)
+            other_writer.close()
+            stopping.upstream.is_released.set()
+            await _read_response(reader)
+            refused, _ = await _read_response(reader)
+        writer.close()
+        assert served[9:12] == b'200'
+        assert refused[9:12] == b'503'
+        assert _retry_after_s(refused) < _SHORT_S
+
+    _run(check, monkeypatch)
+
+
 def test_request_that_ends_in_the_grace_time_is_served(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
