Do not take an empty line for a half-read request

What callers saw: nothing but a stop that took its whole time, as an idle client had sent an empty line behind a request; after the header timeout that client would get a 408 that it did not ask for (read only). Cause: the time of a request began with any byte. Change: it begins with the first byte of the request, as the parser reports it.

--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -59,7 +59,7 @@
         # No more requests are passed on, because the connection is closing.
         self.is_stopped = False
         # When the first byte of the current request was read; 0 between
-        # requests.
+        # requests, also behind an empty line.
         self.request_started_at = 0.0
         # Bytes received since the last request ended, until the headers of
         # the next one are complete.
@@ -79,8 +79,6 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes, which may hold any part of any number of requests."""
-        if not self.request_started_at:
-            self.request_started_at = clock.recent()
         if self.is_in_headers:
             # The parser reports a header line only when it is complete, so its
             # callbacks cannot limit an incomplete line.
--- a/tests/listener/test_requests_cut_by_a_stop.py
+++ b/tests/listener/test_requests_cut_by_a_stop.py
@@ -153,6 +153,32 @@
     assert handler.completed == []
 
 
+def test_empty_line_behind_a_request_is_no_half_read_request() -> None:
+    """Guards against a stop that waits for a request that nobody sent.
+
+    A client may send an empty line behind a request (RFC 9112, section 2.2).
+    """
+
+    async def scenario() -> None:
+        handler = _Handler()
+        async with connections.listening(handler.serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(_GET_SHORT)
+            async with asyncio.timeout(_TIMEOUT_S):
+                await reader.readuntil(b'answer of the handler')
+                writer.write(b'\r\n')
+                await asyncio.sleep(_LATE_READ_S)
+                # The end of the stream comes long before the end of the stop.
+                close = asyncio.create_task(
+                    listener.close_gracefully(_TIMEOUT_S * 2)
+                )
+                assert await reader.read() == b''
+                writer.close()
+                await close
+
+    asyncio.run(scenario())
+
+
 def test_request_that_is_half_read_at_the_end_hears_of_the_close() -> None:
     """Guards against a reset behind a request that is not read to its end.
 
