Answer a request that is half read at the end of a stop

What callers saw: a request that had come in part when a stop ended got nothing but the end of the stream, also if the rest came while the last responses were delivered. Change: such a request is refused like the ones that wait: 503, not run, with the close.

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -155,10 +155,15 @@
 
         Those whose handlers have not returned get a final response, so that
         they delay the responses that are ready behind them no longer. What has
-        been received and not parsed is refused.
+        been received and not parsed is refused, and so is a request that is
+        half read.
         """
         self.is_refusing = True
         self._refuse_unparsed()
+        if self.parser.request_started_at and not self.parser.is_stopped:
+            exchange = _Exchange(is_head=self.parser.is_head())
+            self.exchanges.append(exchange)
+            self._refuse(exchange)
         self.parser.is_stopped = True
         self._cancel_handlers(CutReason.LISTENER_CLOSED)
         for exchange in self.exchanges:
--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -77,6 +77,11 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
 
+    def is_head(self) -> bool:
+        """Return whether the request that is half read is a HEAD request."""
+        method: bytes = self.parser.get_method()
+        return bool(self.request_started_at and self.url) and method == b'HEAD'
+
     def feed(self, data: bytes) -> None:
         """Parse bytes, which may hold any part of any number of requests."""
         if self.is_in_headers:
--- a/tests/listener/test_requests_cut_by_a_stop.py
+++ b/tests/listener/test_requests_cut_by_a_stop.py
@@ -179,11 +179,14 @@
     asyncio.run(scenario())
 
 
-def test_request_that_is_half_read_at_the_end_hears_of_the_close() -> None:
-    """Guards against a reset behind a request that is not read to its end.
+@pytest.mark.parametrize('method', ['POST', 'HEAD'])
+def test_request_that_is_half_read_at_the_end_gets_an_answer(
+    method: str,
+) -> None:
+    """Guards against a request that a stop reads in part and drops.
 
-    The kernel resets a connection that is closed while bytes arrive, and a
-    reset discards responses that are on their way.
+    The rest may be on its way. It must not reset the connection, which would
+    discard the responses.
     """
 
     async def scenario() -> bytes:
@@ -193,7 +196,9 @@
             writer.write(_GET_SHORT)
             async with asyncio.timeout(_TIMEOUT_S):
                 received = await reader.readuntil(b'answer of the handler')
-                writer.write(b'POST /half HTTP/1.1\r\nhost: a\r\n')
+                writer.write(
+                    f'{method} /half HTTP/1.1\r\nhost: a\r\n'.encode()
+                )
                 (connection,) = listener.connections
                 while not connection.parser.request_started_at:
                     await asyncio.sleep(0.01)
@@ -210,7 +215,10 @@
         assert handler.completed == ['/short']
         return received
 
-    assert asyncio.run(scenario()).count(b'HTTP/1.1 ') == 1
+    _, _, response = asyncio.run(scenario()).partition(b'handler')
+    assert response.startswith(b'HTTP/1.1 503 ')
+    assert b'connection: close' in response
+    assert response.endswith(b'\r\n\r\n')
 
 
 def test_graceful_close_waits_until_a_client_that_is_late_has_read() -> None:
