Keep a connection open while it has requests that are not parsed

What callers saw: a client that read a response slowly, and had sent its next request meanwhile, got no response to it: a stop or the idle timeout closed the connection without announcing it. Cause: the checks before a close looked at pending requests and at one that was half read, and not at bytes that wait while writing is paused. Measured: test_request_that_waits_for_a_slow_reader_gets_an_answer failed for both causes before; its file and that of the cuts pass (16).

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -394,7 +394,7 @@
 
     def close_if_finished(self) -> None:
         """Close the connection if no request and no response can be lost."""
-        if self.parser.request_started_at or self.exchanges:
+        if self.parser.request_started_at or self.exchanges or self.unparsed:
             return
         if self._has_lingered(clock.recent()):
             self.parser.is_stopped = True
@@ -438,7 +438,7 @@
                 now - self.parser.request_started_at > limits.header_timeout_s
             ):
                 self.reject(errors.ErrorKind.HEADERS_LATE)
-        elif not self.exchanges and (
+        elif not (self.exchanges or self.unparsed) and (
             now - self.last_active_at > limits.idle_timeout_s
         ):
             self.parser.is_stopped = True
--- a/tests/listener/connections.py
+++ b/tests/listener/connections.py
@@ -39,3 +39,9 @@
         socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
     )
     writer.transport.abort()
+
+
+async def until(condition: collections.abc.Callable[[], bool]) -> None:
+    """Wait until a condition holds; the caller limits the time."""
+    while not condition():
+        await asyncio.sleep(0.01)
--- a/tests/listener/test_close_with_unread_answers.py
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import pytest
+
 from godwitstall import http_messages
 from tests.listener import connections
 
@@ -13,6 +15,9 @@
 # More than the socket buffers of both sides hold.
 _LARGE_BODY = b'x' * 20_000_000
 
+# Time for which a client does not read, seconds.
+_WAIT_S = 0.5
+
 
 async def _read_to_the_end(reader: asyncio.StreamReader) -> bytes:
     """Read until the peer closes or resets the connection."""
@@ -102,3 +107,51 @@
         assert len(responses) == sent
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('cause', ['graceful close', 'idle timeout'])
+def test_request_that_waits_for_a_slow_reader_gets_an_answer(
+    cause: str,
+) -> None:
+    """Guards against a request that is read, and dropped by a close.
+
+    It was not parsed, as the client is slow to read the response before it,
+    which does not announce the close.
+    """
+
+    async def scenario() -> list[bytes]:
+        async def serve(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(200, [], _LARGE_BODY)
+
+        async with connections.listening(serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(_GET_1)
+            await connections.until(lambda: bool(listener.connections))
+            (connection,) = listener.connections
+            await connections.until(lambda: connection.is_write_paused)
+            writer.write(_GET_1)
+            await connections.until(lambda: bool(connection.unparsed))
+            if cause == 'idle timeout':
+                listener.limits.idle_timeout_s = _WAIT_S
+                close = asyncio.create_task(asyncio.sleep(3 * _WAIT_S))
+            else:
+                close = asyncio.create_task(
+                    listener.close_gracefully(_TIMEOUT_S)
+                )
+            await asyncio.sleep(3 * _WAIT_S)
+            listener.limits.idle_timeout_s = _TIMEOUT_S
+            received = b''
+            async with asyncio.timeout(_TIMEOUT_S):
+                while received.count(b'HTTP/1.1 ') < 2 and (
+                    chunk := await reader.read(65536)
+                ):
+                    received += chunk.replace(b'x', b'')
+                writer.close()
+                await close
+        return received.split(b'HTTP/1.1 ')[1:]
+
+    responses = asyncio.run(scenario())
+    # A client may send the request again if the close was announced.
+    assert len(responses) == 2 or b'connection: close' in responses[0]
