Ask for the body of a request that was held back behind another

What callers saw: a client that waits for 100 Continue got none if its request was read while the one before it was running, and waited for ever. Cause: the 100 was sent only if no response was due when the headers were read. Change: it is sent when the last response before the body has been written. Measured: test_request_that_expects_a_continue_behind_another_gets_it failed before (no 100 in 10 s); test_http_listener.py passes with it.

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -259,6 +259,7 @@
     def on_expect_continue(self) -> None:
         """Ask for the body of a request if no response is due before it."""
         if not self.exchanges:
+            self.parser.expects_continue = False
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_request(
@@ -378,6 +379,8 @@
                 return
             if self.has_waiting:
                 self._start_waiting_handler()
+        if self.parser.is_body_held_back():
+            self.on_expect_continue()
         if self.unparsed:
             self._parse_requests()
 
--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -77,6 +77,12 @@
         self.body: list[bytes] = []
         self.body_bytes = 0
 
+    def is_body_held_back(self) -> bool:
+        """Return whether the client waits to be asked for a body."""
+        return self.expects_continue and not (
+            self.is_in_headers or self.body_bytes or self.is_stopped
+        )
+
     def is_head(self) -> bool:
         """Return whether the request that is half read is a HEAD request."""
         method: bytes = self.parser.get_method()
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -307,3 +307,40 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_request_that_expects_a_continue_behind_another_gets_it() -> None:
+    """Guards against a client that waits for 100 Continue for ever.
+
+    Its request was read while the one before it was running.
+    """
+
+    async def scenario() -> bytes:
+        is_released = asyncio.Event()
+
+        async def serve(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            await is_released.wait()
+            return http_messages.Response(204)
+
+        async with connections.listening(serve) as (listener, address):
+            reader, writer = await connections.connect(address)
+            writer.write(
+                b'GET /1 HTTP/1.1\r\nhost: a\r\n\r\n'
+                + b'POST /2 HTTP/1.1\r\nhost: a\r\n'
+                b'expect: 100-continue\r\ncontent-length: 4\r\n\r\n'
+            )
+            await connections.until(lambda: listener.active_requests == 1)
+            is_released.set()
+            async with asyncio.timeout(_TIMEOUT_S):
+                await reader.readuntil(b'\r\n\r\n')
+                received = await reader.readuntil(b'\r\n\r\n')
+                writer.write(b'body')
+                received += await reader.readuntil(b'\r\n\r\n')
+            writer.close()
+        return received
+
+    received = asyncio.run(scenario())
+    assert received.startswith(b'HTTP/1.1 100 ')
+    assert received.count(b'HTTP/1.1 204 ') == 1
