Send no body with the rejection of a HEAD request

What callers saw: a rejected HEAD request (400, 413, 431) got a response with a body, which a client would take for the start of the next response. Cause: the rejection did not know the method. Change: the parser says whether the request that is half read is a HEAD. Measured: test_rejected_head_request_gets_no_body failed before, passes now; tests/listener passes.

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -253,7 +253,8 @@
         response = self.listener.respond_to_error(kind)
         _BAD_REQUESTS.inc(status=str(response.status))
         self.parser.is_stopped = True
-        self.exchanges.append(_Exchange(response=response))
+        exchange = _Exchange(response=response, is_head=self.parser.is_head())
+        self.exchanges.append(exchange)
         self._flush()
 
     def on_expect_continue(self) -> None:
--- a/tests/listener/test_http_listener.py
+++ b/tests/listener/test_http_listener.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from godwitstall import errors
 from godwitstall import http_messages
 from tests.listener import connections
 
@@ -344,3 +345,30 @@
     received = asyncio.run(scenario())
     assert received.startswith(b'HTTP/1.1 100 ')
     assert received.count(b'HTTP/1.1 204 ') == 1
+
+
+def test_rejected_head_request_gets_no_body() -> None:
+    """Guards against bytes behind a response to HEAD that belong to none."""
+
+    async def scenario() -> bytes:
+        async def serve(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            return http_messages.Response(200, [], b'done')
+
+        async with connections.listening(serve) as (listener, address):
+            listener.respond_to_error = lambda kind: http_messages.Response(
+                errors.ANSWERS[kind].status, [], b'a body'
+            )
+            reader, writer = await connections.connect(address)
+            writer.write(
+                b'HEAD / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n',
+            )
+            async with asyncio.timeout(_TIMEOUT_S):
+                received = await reader.read()
+            writer.close()
+        return received
+
+    received = asyncio.run(scenario())
+    assert received.startswith(b'HTTP/1.1 400 ')
+    assert received.endswith(b'\r\n\r\n')
