Count a planned stop from its signal

What callers saw: a node whose event loop is blocked when SIGTERM arrives counts the end of its stop, the settle time and its readiness from when the loop runs the handler. Callers and SIGKILL count from the signal. The node accepts requests that it cannot finish, and is still there when the grace time ends.

Cause: the time of the stop was read in the coroutine that the loop wakes after the callback that blocks it.

Change: Python runs the handler of signal.signal() between two bytecodes, also in the callback that blocks the loop, so it records the time (StopRequest). The stop, the settle time and the readiness endpoint use it. A leave that the rest of the settle time is too short for goes on during the stop; before, it was cancelled when the settle time was over.

Conclusion: the time is exact for code that runs bytecodes and for interrupted system calls.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -29,6 +29,7 @@
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
+from godwitstall import signals
 from godwitstall import supervision
 
 _LOG = logs.get('node')
@@ -115,8 +116,8 @@
         )
         self.peer_server = peer_server.PeerServer(identity, self.owner)
         self.tasks: list[asyncio.Task[None]] = []
-        # Set by a signal handler.
-        self.stop_requested = asyncio.Event()
+        # Set by a signal handler, or by the stop itself.
+        self.stop_requested = signals.StopRequest()
         self.view.on_change.append(self._on_view_change)
 
     def _on_view_change(self) -> None:
@@ -144,16 +145,19 @@
     async def leave_and_settle(self) -> None:
         """Leave the member list and wait until other nodes have noticed.
 
-        With stop_settle_s the wait ends after that time, even if control is
-        unreachable and has not confirmed the leave. Otherwise it lasts one
-        lease, or until the leave has been confirmed or has timed out if that
-        is later.
+        With stop_settle_s the wait ends that long after the stop was
+        requested, even if control is unreachable and has not confirmed the
+        leave. Otherwise it lasts one lease, or until the leave has been
+        confirmed or has timed out if that is later.
         """
         leave = asyncio.create_task(self.membership.leave())
         if self.options.stop_settle_s:
-            await asyncio.sleep(self.options.stop_settle_s)
-            leave.cancel()
-            await asyncio.gather(leave, return_exceptions=True)
+            # The request may have waited for longer than the settle time.
+            self.tasks.append(leave)
+            settled_at = (
+                self.stop_requested.requested_at + self.options.stop_settle_s
+            )
+            await asyncio.sleep(max(0.0, settled_at - clock.now()))
             return
         started_at = clock.now()
         await leave
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -57,7 +57,6 @@
             self.listener.handlers[options.metrics_address] = (
                 metrics_endpoint.serve
             )
-        self.is_stopping = False
         self.allowance.share = local_share.LocalShare()
         self.stewardship = stewardship.Stewardship(
             options.node_id,
@@ -98,7 +97,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers should send requests to this node."""
-        return not self.is_stopping and self.view.number > 0
+        return not self.stop_requested.is_requested() and self.view.number > 0
 
     async def start(self) -> None:
         """Start all listeners and tasks."""
@@ -115,8 +114,8 @@
         are still running then get a response with an unknown outcome.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
-        end = clock.now() + self.options.planned_stop_s()
-        self.is_stopping = True
+        self.stop_requested.set()
+        end = self.stop_requested.requested_at + self.options.planned_stop_s()
         await self.leave_and_settle()
         self._log_stop('stop_settled', end)
         self.owner.planned_stop.set_end(end)
@@ -147,6 +146,6 @@
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the admin listener, without any key."""
         return self.dump_components() | {
-            'is_stopping': self.is_stopping,
+            'is_stopping': self.stop_requested.is_requested(),
             'active': self.listener.active_requests,
         }
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -108,8 +108,11 @@
         unknown outcome.
         """
         _LOG.info('Node %s is stopping.', self.options.node_id)
+        self.stop_requested.set()
         self.listener.is_stopping = True
-        deadline = clock.now() + self.options.planned_stop_s()
+        deadline = (
+            self.stop_requested.requested_at + self.options.planned_stop_s()
+        )
         await self.leave_and_settle()
         if not self.options.stop_grace_s:
             # Without a SIGKILL, running calls get their whole time.
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -16,6 +16,7 @@
 from godwitstall import http_listener
 from godwitstall import messages
 from godwitstall import settings
+from godwitstall import signals
 from loadtool import addresses
 
 _WAIT_S = 20.0
@@ -66,7 +67,7 @@
         self.links = [addresses.free_address() for _ in range(3)]
         self.operators = [addresses.free_address() for _ in range(3)]
         self.nodes: dict[str, settings.NodeOptions] = {}
-        self.stops: dict[str, asyncio.Event] = {}
+        self.stops: dict[str, signals.StopRequest] = {}
         self.tasks: list[asyncio.Task[None]] = []
         # Requests received by the upstream of gwydd.
         self.received: _Requests = []
@@ -77,7 +78,7 @@
         )
 
     def _spawn(self, name: str, run: typing.Any, options: typing.Any) -> None:
-        self.stops[name] = asyncio.Event()
+        self.stops[name] = signals.StopRequest()
         coroutine = run(self._fleet(), options, self.stops[name])
         self.tasks.append(asyncio.create_task(coroutine))
 
