Tell entry nodes which calls a stopping owner has not read

What callers saw: 502, outcome unknown, for requests that never reached an upstream. Their client may not repeat one that is not idempotent, and their entry node could not send it to another owner.

Cause: an owner that ends its links ignores what it reads from then on. The entry node learns of it from the end of the stream, which it cannot tell from the crash of an owner that was running the call.

Change: the last message of a link is an Answer without a call id, of kind stopping. The calls that the owner has begun to handle get peer_lost first, the ones that it has read and not begun are not started. The entry node then closes the link and fails what is pending on it as not run, so that it goes to another owner.

The test of an answer that outlives the end of a stop expects the new message as well as the answer; it checks no less than before.

A call in the same packet as the end of a handshake that ends after the links was not tried.

--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -491,6 +491,9 @@
     async def serve(self, link: Link) -> None:
         """Read one link until it closes."""
 
+    def on_end(self, link: Link) -> None:
+        """Send the last messages of a link; nothing is read after this."""
+
     async def listen(self, address: str) -> None:
         """Listen on 'host:port'.
 
@@ -512,6 +515,7 @@
         if self.is_closed:
             # The handshake has ended after close_links(). The peer would
             # never connect to the next server at this address.
+            self.on_end(link)
             link.close()
             return
         self.links.add(link)
@@ -529,6 +533,7 @@
         if self.server is not None:
             self.server.close()
         for link in list(self.links):
+            self.on_end(link)
             link.end()
         deadline = clock.now() + timeout_s
         while self.links and clock.now() < deadline:
--- a/godwitstall/node/forward.py
+++ b/godwitstall/node/forward.py
@@ -78,14 +78,49 @@
             _LOG.warning('Unexpected message %s.', type(message).__name__)
             return
         if not message.call_id:
-            # The reply to a ping.
+            # The reply to a ping, or the last message of the link.
+            if (
+                isinstance(message, messages.Answer)
+                and message.kind is errors.ErrorKind.STOPPING
+            ):
+                self.on_end(link, message)
             return
         sent_link, future = self.pending.get(message.call_id, (None, None))
         if future is None or future.done() or sent_link is not link:
             _STRAY_ANSWERS.inc()
             return
+        if (
+            isinstance(message, messages.Answer)
+            and message.kind is errors.ErrorKind.PEER_LOST
+        ):
+            # The owner stops, and has cut the call.
+            future.set_exception(
+                errors.RequestError(message.kind, message.detail)
+            )
+            return
         future.set_result(message)
 
+    def on_end(self, link: link_module.Link, message: messages.Answer) -> None:
+        """Close a link that the owner reads no more.
+
+        The owner has answered the calls that it may have run.
+        """
+        link.close()
+        self._fail_calls(link, message.kind, message.retry_after_ms)
+
+    def _fail_calls(
+        self,
+        link: link_module.Link,
+        kind: errors.ErrorKind,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Fail the pending calls that were sent over a link."""
+        for sent_link, future in self.pending.values():
+            if sent_link is link and not future.done():
+                future.set_exception(
+                    errors.RequestError(kind, retry_after_ms=retry_after_ms)
+                )
+
     def check_silence(self, now: float) -> None:
         """Ping a silent peer, or abort the link if a ping was not answered."""
         link = self.link
@@ -117,11 +152,7 @@
                 functools.partial(self.on_message, link)
             )
         finally:
-            for sent_link, future in self.pending.values():
-                if sent_link is link and not future.done():
-                    future.set_exception(
-                        errors.RequestError(errors.ErrorKind.PEER_LOST)
-                    )
+            self._fail_calls(link, errors.ErrorKind.PEER_LOST)
 
 
 class Forwarder:
--- a/godwitstall/node/peer_server.py
+++ b/godwitstall/node/peer_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import functools
 
 from godwitstall import errors
@@ -18,6 +19,17 @@
 ]
 
 
+@dataclasses.dataclass(slots=True)
+class _LinkCalls:
+    """The requests of one link that have not been answered."""
+
+    tasks: dict[int, asyncio.Task[None]] = dataclasses.field(
+        default_factory=dict
+    )
+    # Calls that the owner has begun to handle; the others have not been run.
+    running: dict[int, messages.Call] = dataclasses.field(default_factory=dict)
+
+
 class PeerServer(link_module.LinkServer):
     """Accepts links from other nodes."""
 
@@ -29,28 +41,52 @@
         # Handles token requests of nodes that cannot reach the ledger; None if
         # this node does not serve token requests.
         self.on_take: TakeHandler | None = None
+        self.calls: dict[link_module.Link, _LinkCalls] = {}
 
     async def serve(self, link: link_module.Link) -> None:
         """Serve the requests of one link until it closes."""
-        tasks: dict[int, asyncio.Task[None]] = {}
+        calls = self.calls[link] = _LinkCalls()
         try:
             await link.run_sync_handler(
-                functools.partial(self._on_message, link, tasks)
+                functools.partial(self._on_message, link, calls)
             )
         finally:
+            del self.calls[link]
             # The entry node is disconnected, so nobody receives the answers.
-            for task in tasks.values():
+            for task in calls.tasks.values():
+                task.cancel()
+
+    def on_end(self, link: link_module.Link) -> None:
+        """Tell the entry node which of its calls may have been run.
+
+        Without this it could not send the others, which this node does not
+        read any more, to another owner.
+        """
+        calls = self.calls.get(link, _LinkCalls())
+        for call_id, task in calls.tasks.items():
+            if call_id not in calls.running:
                 task.cancel()
+        with contextlib.suppress(errors.LinkError):
+            for call in calls.running.values():
+                link.send(_lost_answer(call))
+            link.send(
+                dispatch.error_answer(
+                    errors.RequestError(errors.ErrorKind.STOPPING)
+                )
+            )
 
     def _on_message(
         self,
         link: link_module.Link,
-        tasks: dict[int, asyncio.Task[None]],
+        calls: _LinkCalls,
         message: messages.Message,
     ) -> None:
+        tasks = calls.tasks
         match message:
             case messages.Call():
-                task = asyncio.create_task(self._handle_call(link, message))
+                task = asyncio.create_task(
+                    self._handle_call(link, calls, message)
+                )
                 tasks[message.call_id] = task
                 task.add_done_callback(
                     functools.partial(_remove_task, tasks, message.call_id)
@@ -76,9 +112,16 @@
                 _LOG.warning('Unexpected message %s.', type(message).__name__)
 
     async def _handle_call(
-        self, link: link_module.Link, call: messages.Call
+        self,
+        link: link_module.Link,
+        calls: _LinkCalls,
+        call: messages.Call,
     ) -> None:
-        answer = await self.owner.handle(call)
+        calls.running[call.call_id] = call
+        try:
+            answer = await self.owner.handle(call)
+        finally:
+            calls.running.pop(call.call_id, None)
         try:
             link.send(answer)
         except errors.LinkError as e:
@@ -93,6 +136,17 @@
         link.send(reply)
 
 
+def _lost_answer(call: messages.Call) -> messages.Answer:
+    """Return the answer to a call that ends with its link."""
+    answer = dispatch.error_answer(
+        errors.RequestError(errors.ErrorKind.PEER_LOST)
+    )
+    answer.call_id = call.call_id
+    # It is unknown how many of them have been used.
+    answer.attempts_used = call.attempts
+    return answer
+
+
 def _remove_task(
     tasks: dict[int, asyncio.Task[None]],
     call_id: int,
--- a/tests/node/test_links_at_the_end_of_a_stop.py
+++ b/tests/node/test_links_at_the_end_of_a_stop.py
@@ -57,9 +57,12 @@
             await entry.run_sync_handler(received.append)
             await end
         assert link.unsent_bytes == 0
-        [answer] = received
+        answer, last = received
         assert isinstance(answer, messages.Answer)
         assert (answer.call_id, answer.body) == (1, _BODY)
+        # The other call has not been run.
+        assert isinstance(last, messages.Answer)
+        assert (last.call_id, last.kind) == (0, errors.ErrorKind.STOPPING)
 
     asyncio.run(scenario())
 
