--- a/tests/node/test_calls_unread_by_a_stopping_owner.py
+++ b/tests/node/test_calls_unread_by_a_stopping_owner.py
@@ -141,3 +141,37 @@
             await end
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('steps', range(30))
+def test_call_over_a_link_that_is_being_opened_is_run_or_refused(
+    steps: int,
+) -> None:
+    """Guards against calls behind a handshake that the owner has not ended.
+
+    The owner ends its links after a number of steps of the event loop.
+    """
+
+    async def scenario() -> None:
+        pair = _Pair()
+        await pair.server.listen(pair.address)
+        call = asyncio.create_task(pair.call('/first'))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        async with asyncio.timeout(_TIMEOUT_S):
+            await pair.server.end_links(0.0)
+            try:
+                answer = await call
+            except errors.RequestError as e:
+                answer = messages.Answer(
+                    outcome=errors.ANSWERS[e.kind].outcome
+                )
+        if answer.status == 200:
+            assert pair.owner.paths == ['/first']
+        else:
+            assert answer.outcome is errors.Outcome.NOT_RUN
+            assert not pair.owner.paths
+        pair.forwarder.close()
+        pair.server.close_links()
+
+    asyncio.run(scenario())
