End the links of a stopping node before its outcomes are recorded

What callers see: a node whose control cannot be reached, and that has an outcome to record, is still there when its grace time ends. SIGKILL then ends its links as a crash does, and calls that cross it have an unknown outcome.

Cause: the last wait for outcomes takes up to 5 s after the end of the planned stop, whatever is left of the grace time, and stands before the end of the links. Only operations are recorded, so that gateway nodes have none.

Evidence: a node with a grace time of 1 s, control stopped, one operation whose caller has left: the stop took 5.67 s.

Change: the links are ended first, so that the outcomes of the calls that are cut with them are waited for as well. The wait ends 0.2 s before the grace time does. Without a grace time it is 5 s as before.

Measured: the same stop takes 0.81 s. tests/node/test_operations.py, test_planned_stop.py, test_acknowledged_drains.py and the tests of links pass.

Conclusion: an outcome that control does not confirm within the grace time is not recorded, as before with SIGKILL.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -41,6 +41,9 @@
 # Time to record pending outcomes at a planned stop, seconds.
 _DRAIN_TIMEOUT_S = 5.0
 
+# Part of the grace time that is left to the exit of the process, seconds.
+_EXIT_TIME_S = 0.2
+
 # Time for other nodes to receive the last answers at a planned stop, seconds.
 _LINK_END_TIME_S = 0.1
 
@@ -175,9 +178,10 @@
 
     async def stop_components(self) -> None:
         """Close all links and cancel the tasks."""
-        await self.claimer.drain(_DRAIN_TIMEOUT_S)
         await self.peer_server.end_links(_LINK_END_TIME_S)
         self.peer_server.close_links()
+        # Also the outcomes of calls that were cut with their links.
+        await self.claimer.drain(self._drain_timeout_s())
         self.forwarder.close()
         for task in self.tasks:
             task.cancel()
@@ -185,6 +189,15 @@
         self.membership.report_unrecorded_drain()
         _LOG.info('Node %s stopped.', self.options.node_id)
 
+    def _drain_timeout_s(self) -> float:
+        if not self.options.stop_grace_s:
+            return _DRAIN_TIMEOUT_S
+        killed_at = self.stop_requested.requested_at + (
+            self.options.stop_grace_s
+        )
+        left_s = killed_at - _EXIT_TIME_S - clock.now()
+        return min(_DRAIN_TIMEOUT_S, max(0.0, left_s))
+
     def dump_components(self) -> dict[str, typing.Any]:
         """Return the state of the components for the admin listener."""
         return {
