Read the time of a stop request in one place

set() and on_signal() held the same line. No change of behaviour; tests/base/test_signals.py, tests/platform and the tests of planned stops pass.

--- a/godwitstall/signals.py
+++ b/godwitstall/signals.py
@@ -34,7 +34,7 @@
 
     def set(self) -> None:
         """Request a stop, now unless it has been requested before."""
-        self.requested_at = min(self.requested_at, clock.now())
+        self.on_signal()
         super().set()
 
     def on_signal(self, *_: typing.Any) -> None:
