--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -29,6 +29,7 @@
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
+from godwitstall import signals
 from godwitstall import supervision
 
 _LOG = logs.get('node')
@@ -40,6 +41,9 @@
 # Time to record pending outcomes at a planned stop, seconds.
 _DRAIN_TIMEOUT_S = 5.0
 
+# Part of the grace time that is left to the exit of the process, seconds.
+_EXIT_TIME_S = 0.2
+
 # Time for other nodes to receive the last answers at a planned stop, seconds.
 _LINK_END_TIME_S = 0.1
 
@@ -115,8 +119,8 @@
         )
         self.peer_server = peer_server.PeerServer(identity, self.owner)
         self.tasks: list[asyncio.Task[None]] = []
-        # Set by a signal handler.
-        self.stop_requested = asyncio.Event()
+        # Set by a signal handler, or by the stop itself.
+        self.stop_requested = signals.StopRequest()
         self.view.on_change.append(self._on_view_change)
 
     def _on_view_change(self) -> None:
@@ -144,16 +148,19 @@
     async def leave_and_settle(self) -> None:
         """Leave the member list and wait until other nodes have noticed.
 
-        With stop_settle_s the wait ends after that time, even if control is
-        unreachable and has not confirmed the leave. Otherwise it lasts one
-        lease, or until the leave has been confirmed or has timed out if that
-        is later.
+        With stop_settle_s the wait ends that long after the stop was
+        requested, even if control is unreachable and has not confirmed the
+        leave. Otherwise it lasts one lease, or until the leave has been
+        confirmed or has timed out if that is later.
         """
         leave = asyncio.create_task(self.membership.leave())
         if self.options.stop_settle_s:
-            await asyncio.sleep(self.options.stop_settle_s)
-            leave.cancel()
-            await asyncio.gather(leave, return_exceptions=True)
+            # The request may have waited for longer than the settle time.
+            self.tasks.append(leave)
+            settled_at = (
+                self.stop_requested.requested_at + self.options.stop_settle_s
+            )
+            await asyncio.sleep(max(0.0, settled_at - clock.now()))
             return
         started_at = clock.now()
         await leave
@@ -171,9 +178,10 @@
 
     async def stop_components(self) -> None:
         """Close all links and cancel the tasks."""
-        await self.claimer.drain(_DRAIN_TIMEOUT_S)
         await self.peer_server.end_links(_LINK_END_TIME_S)
         self.peer_server.close_links()
+        # Also the outcomes of calls that were cut with their links.
+        await self.claimer.drain(self._drain_timeout_s())
         self.forwarder.close()
         for task in self.tasks:
             task.cancel()
@@ -181,6 +189,15 @@
         self.membership.report_unrecorded_drain()
         _LOG.info('Node %s stopped.', self.options.node_id)
 
+    def _drain_timeout_s(self) -> float:
+        if not self.options.stop_grace_s:
+            return _DRAIN_TIMEOUT_S
+        killed_at = self.stop_requested.requested_at + (
+            self.options.stop_grace_s
+        )
+        left_s = killed_at - _EXIT_TIME_S - clock.now()
+        return min(_DRAIN_TIMEOUT_S, max(0.0, left_s))
+
     def dump_components(self) -> dict[str, typing.Any]:
         """Return the state of the components for the admin listener."""
         return {
