Let the parts of a replica depend on its state, not on the replica

Cause: discovery, election, follower, peer, voter_changes and replica imported each other in a circle of six modules, five of them under TYPE_CHECKING. Change: State (consensus/state) holds what the parts share: settings, term, log, voters and peers. The parts get it and, by name, the other parts they need; calls in the other direction are callbacks (on_step_down, on_applied, on_elected, on_ack), as Log.on_durable was. Tasks, Applier, SnapshotManager and PeerTable are cut out of Replica; Peer is split into what is known of a peer and Replicator, which sends to it. VoterChanges returns the next change in place of appending it. Messages, files, settings and log lines stay as they are. One order within a turn of the event loop differs: the next batch of entries is scheduled before the new role is reported, not after. Tests: names only (replica.log is replica.state.log and so on); two_candidates sets election.on_elected in place of replica.become_leader.

--- a/bench/snapshots.py
+++ b/bench/snapshots.py
@@ -168,7 +168,7 @@
     load_task = asyncio.create_task(load.run(proposers, 1e9))
     await asyncio.sleep(_LOAD_LEAD_S)
     gap_before_ms = await gap_meter.take_longest_gap_ms()
-    snapshot_folder = replica.folder / 'trial'
+    snapshot_folder = replica.state.folder / 'trial'
     header = messages.SnapshotFile(last_index=2, last_term=1, time_ms=1)
     start = clock.now()
     await snapshots.write(snapshot_folder, header, machine.freeze())
--- a/godwitstall/consensus/discovery.py
+++ b/godwitstall/consensus/discovery.py
@@ -10,20 +10,15 @@
 known and no replica has been discovered for a while.
 """
 
-from __future__ import annotations
-
 import asyncio
-import typing
 
 from godwitstall import clock
+from godwitstall.consensus import peer_table as peer_tables
+from godwitstall.consensus import state as state_module
 from godwitstall import errors
 from godwitstall import link as links
 from godwitstall import logs
 from godwitstall import messages
-from godwitstall import settings
-
-if typing.TYPE_CHECKING:
-    from godwitstall.consensus import replica as replicas
 
 _LOG = logs.get('discovery')
 
@@ -53,10 +48,13 @@
     """Addresses of the other replicas, as one replica knows them."""
 
     def __init__(
-        self, replica: replicas.Replica, fleet: settings.FleetOptions
+        self,
+        state: state_module.State,
+        peer_table: peer_tables.PeerTable,
     ) -> None:
-        self.replica = replica
-        self.fleet = fleet
+        self.state = state
+        self.fleet = state.fleet
+        self.peer_table = peer_table
         # Replicas that reported an empty disk of a new fleet.
         self.initial_slots: set[messages.SlotId] = set()
         # Zones that the replicas reported.
@@ -71,22 +69,22 @@
     def own_address(self) -> str:
         """Address at which other replicas connect to this one."""
         if self.fleet.seeds:
-            return self.replica.options.link_address
-        return self.fleet.control[self.replica.slot]
+            return self.state.options.link_address
+        return self.fleet.control[self.state.slot]
 
     def is_founder(self) -> bool:
         """Return whether this replica may create a new fleet."""
         if self.fleet.seeds:
             is_first = self.own_address == min(self.fleet.seeds)
             return is_first and not self.is_formed_elsewhere
-        return self.replica.slot == min(self.fleet.control)
+        return self.state.slot == min(self.fleet.control)
 
     def founding_slots(self) -> set[messages.SlotId] | None:
         """Return the voters of a new fleet, None while they are unknown."""
         if not self.fleet.seeds:
             return {messages.SlotId(slot) for slot in self.fleet.control}
         now = clock.now()
-        known = {peer.address for peer in self.replica.peers.values()}
+        known = {peer.address for peer in self.state.peers.values()}
         known.add(self.own_address)
         has_all_seeds = known.issuperset(self.fleet.seeds)
         may_wait = now - self.started_at < _FOUNDING_TIMEOUT_S
@@ -96,15 +94,15 @@
             return None
         if len(self.initial_slots) + 1 < len(self.fleet.seeds):
             return None
-        return self.initial_slots | {self.replica.slot}
+        return self.initial_slots | {self.state.slot}
 
     def to_voter(self) -> messages.Voter:
         """Describe this replica to the others."""
         return messages.Voter(
-            self.replica.slot,
-            self.replica.disk.disk_id,
+            self.state.slot,
+            self.state.disk.disk_id,
             self.own_address,
-            self.replica.options.zone,
+            self.state.options.zone,
         )
 
     def on_introduce(self, request: messages.Introduce) -> messages.Directory:
@@ -121,12 +119,12 @@
         )
 
     def _is_formed(self) -> bool:
-        return bool(self.replica.voters.current)
+        return bool(self.state.voters.current)
 
     def _known_replicas(self) -> list[messages.Voter]:
         known = [self.to_voter()]
-        for peer in self.replica.peers.values():
-            is_voter = peer.slot in self.replica.voters.current
+        for peer in self.state.peers.values():
+            is_voter = peer.slot in self.state.voters.current
             if is_voter or peer.link is not None:
                 known.append(
                     messages.Voter(
@@ -141,7 +139,7 @@
     def _add_replica(self, voter: messages.Voter) -> None:
         if voter.zone:
             self.zones[voter.slot] = voter.zone
-        if self.replica.add_peer(voter.slot, voter.address):
+        if self.peer_table.add(voter.slot, voter.address):
             self.last_discovery_at = clock.now()
 
     async def run(self) -> None:
@@ -162,7 +160,7 @@
         return _STEADY_INTERVAL_S
 
     def _missing_seeds(self) -> list[str]:
-        known = {peer.address for peer in self.replica.peers.values()}
+        known = {peer.address for peer in self.state.peers.values()}
         return [
             address
             for address in self.fleet.seeds
@@ -170,8 +168,8 @@
         ]
 
     async def _search(self) -> None:
-        for voter in self.replica.voters.current.values():
-            if voter.slot != self.replica.slot:
+        for voter in self.state.voters.current.values():
+            if voter.slot != self.state.slot:
                 self._add_replica(voter)
         introductions = [
             self._introduce_to_seed(address)
@@ -179,7 +177,7 @@
         ]
         introductions += [
             self._introduce(peer.link)
-            for peer in self.replica.peers.values()
+            for peer in self.state.peers.values()
             if peer.link is not None
         ]
         await asyncio.gather(*introductions)
@@ -187,7 +185,7 @@
     async def _introduce_to_seed(self, address: str) -> None:
         try:
             link = await links.connect(
-                address, self.replica.identity, _INTRODUCTION_TIMEOUT_S
+                address, self.state.identity, _INTRODUCTION_TIMEOUT_S
             )
         except errors.LinkError as e:
             _LOG.debug('Cannot connect to seed %s: %s', address, e)
@@ -202,7 +200,7 @@
     async def _introduce(self, link: links.Link) -> None:
         request = messages.Introduce(
             replica=self.to_voter(),
-            is_initial=self.replica.election.is_new_fleet(),
+            is_initial=self.state.is_new_fleet(),
         )
         try:
             reply = await link.request(request, _INTRODUCTION_TIMEOUT_S)
@@ -213,22 +211,22 @@
             return
         self.is_formed_elsewhere |= reply.is_formed
         for voter in reply.replicas:
-            if voter.slot != self.replica.slot:
+            if voter.slot != self.state.slot:
                 self._add_replica(voter)
 
     def _remove_lost_learners(self) -> None:
         """Remove learners that have had no link for too long."""
         now = clock.now()
-        for peer in list(self.replica.peers.values()):
+        for peer in list(self.state.peers.values()):
             if peer.link is not None or peer.slot in (
-                self.replica.voters.current
+                self.state.voters.current
             ):
                 peer.linked_at = now
             elif now - peer.linked_at > _LEARNER_EXPIRY_S:
                 _LOG.info('Removed unreachable replica %s.', peer.slot)
                 self.initial_slots.discard(peer.slot)
                 self.zones.pop(peer.slot, None)
-                self.replica.remove_peer(peer.slot)
+                self.peer_table.remove(peer.slot)
 
 
 async def _discard_message(message: messages.Message) -> None:
--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -13,33 +13,39 @@
 in an election, because the other logs are not empty.
 """
 
-from __future__ import annotations
-
 import asyncio
+import collections.abc
 import random
-import typing
 
 from godwitstall import clock
+from godwitstall.consensus import discovery as discovery_module
 from godwitstall.consensus import peer as peers
+from godwitstall.consensus import state as state_module
 from godwitstall.consensus import storage
 from godwitstall.consensus import voters
 from godwitstall import errors
 from godwitstall import logs
 from godwitstall import messages
 
-if typing.TYPE_CHECKING:
-    from godwitstall.consensus import replica as replicas
-
 _LOG = logs.get('consensus')
 
-_Grants = dict[messages.SlotId, messages.DiskId]
+# Disk ids of the replicas that granted a vote.
+Grants = dict[messages.SlotId, messages.DiskId]
 
 
 class Election:
     """Election state of one replica."""
 
-    def __init__(self, replica: replicas.Replica) -> None:
-        self.replica = replica
+    def __init__(
+        self,
+        state: state_module.State,
+        discovery: discovery_module.Discovery,
+        on_elected: collections.abc.Callable[[Grants], None],
+    ) -> None:
+        self.state = state
+        self.discovery = discovery
+        # Called with the votes when this replica has won an election.
+        self.on_elected = on_elected
         # Time of the last contact with a leader, seconds.
         self.leader_contact_at = clock.now()
         # Time at which the next election starts, seconds.
@@ -53,12 +59,15 @@
     def reset_deadline(self) -> None:
         """Restart the randomized election timeout."""
         self.deadline = clock.now() + random.uniform(
-            self.replica.options.election_min_s,
-            self.replica.options.election_max_s,
+            self.state.options.election_min_s,
+            self.state.options.election_max_s,
         )
 
-    def on_leader_contact(self) -> None:
-        """Record contact with the leader of this term."""
+    def on_leader_contact(self, slot: messages.SlotId) -> None:
+        """Record contact with the leader of this term, and follow it."""
+        if self.state.leader_slot != slot:
+            _LOG.info('Following %s in term %d.', slot, self.state.term)
+            self.state.leader_slot = slot
         self.leader_contact_at = clock.now()
         self.reset_deadline()
 
@@ -70,10 +79,10 @@
         async with self._store_lock:
             if self._is_closed:
                 raise errors.DiskError('The replica is closed.')
-            vote = storage.Vote(self.replica.term, self.replica.voted_for)
+            vote = storage.Vote(self.state.term, self.state.voted_for)
             if vote != self.stored_vote:
                 await storage.run_blocking(
-                    storage.write_vote, self.replica.folder, vote
+                    storage.write_vote, self.state.folder, vote
                 )
                 self.stored_vote = vote
 
@@ -82,61 +91,50 @@
         async with self._store_lock:
             self._is_closed = True
 
-    def is_new_fleet(self) -> bool:
-        """Return whether the disk is initial and has never had voters."""
-        replica = self.replica
-        return (
-            replica.disk.is_initial
-            and not replica.voters.current
-            and replica.log.last_index == 0
-        )
-
     def is_eligible(self) -> bool:
         """Return whether this replica may become leader."""
-        if self.is_new_fleet():
-            return self.replica.discovery.is_founder()
-        return self.replica.is_voter(
-            self.replica.slot, self.replica.disk.disk_id
-        )
+        if self.state.is_new_fleet():
+            return self.discovery.is_founder()
+        return self.state.is_voter(self.state.slot, self.state.disk.disk_id)
 
     async def campaign(self, is_transfer: bool = False) -> None:
         """Run an election; a leadership transfer skips the pre-vote."""
-        replica = self.replica
+        state = self.state
         self.reset_deadline()
-        if replica.is_leader or not self.is_eligible():
+        if state.is_leader or not self.is_eligible():
             return
         if not is_transfer and (
-            await self._request_votes(replica.term + 1, True, False) is None
+            await self._request_votes(state.term + 1, True, False) is None
         ):
             return
         if not is_transfer and clock.now() < self.leader_contact_at + (
-            replica.options.election_min_s
+            state.options.election_min_s
         ):
             return
-        term = replica.term + 1
-        replica.observe_term(term)
-        replica.voted_for = f'{replica.slot}/{replica.disk.disk_id}'
-        replica.leader_slot = None
+        term = state.term + 1
+        state.observe_term(term)
+        state.voted_for = f'{state.slot}/{state.disk.disk_id}'
+        state.leader_slot = None
         await self.store_vote()
-        if replica.term != term:
+        if state.term != term:
             return
         grants = await self._request_votes(term, False, is_transfer)
-        if grants is not None and replica.term == term:
-            replica.become_leader(grants)
+        if grants is not None and state.term == term:
+            self.on_elected(grants)
 
     async def _request_votes(
         self, term: int, is_pre_vote: bool, is_transfer: bool
-    ) -> _Grants | None:
+    ) -> Grants | None:
         """Return the granted votes once they are a quorum, otherwise None."""
-        replica = self.replica
-        start_term = replica.term
-        grants: _Grants = {replica.slot: replica.disk.disk_id}
+        state = self.state
+        start_term = state.term
+        grants: Grants = {state.slot: state.disk.disk_id}
         request = messages.VoteRequest(
             term=term,
-            slot=replica.slot,
-            disk_id=replica.disk.disk_id,
-            last_index=replica.log.last_index,
-            last_term=replica.log.last_term,
+            slot=state.slot,
+            disk_id=state.disk.disk_id,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
             is_pre_vote=is_pre_vote,
             is_transfer=is_transfer,
         )
@@ -144,7 +142,7 @@
             return grants
         tasks = [
             asyncio.create_task(self._request_vote(peer, request))
-            for peer in replica.peers.values()
+            for peer in state.peers.values()
             if peer.link is not None
         ]
         try:
@@ -152,9 +150,9 @@
                 slot, reply = await next_reply
                 if reply is None:
                     continue
-                if reply.term > replica.term:
-                    replica.observe_term(reply.term)
-                if replica.term != start_term:
+                if reply.term > state.term:
+                    state.observe_term(reply.term)
+                if state.term != start_term:
                     return None
                 if reply.is_granted:
                     grants[slot] = reply.disk_id
@@ -183,9 +181,7 @@
         if link is None:
             return peer.slot, None
         try:
-            reply = await link.request(
-                copy, self.replica.options.election_min_s
-            )
+            reply = await link.request(copy, self.state.options.election_min_s)
             if isinstance(reply, messages.VoteReply):
                 return peer.slot, reply
         except errors.ControlError as e:
@@ -197,49 +193,49 @@
             _LOG.debug('Vote request to %s failed: %s', peer.slot, e)
         return peer.slot, None
 
-    def _has_quorum(self, grants: _Grants) -> bool:
-        if self.is_new_fleet():
-            return set(grants) == self.replica.discovery.founding_slots()
+    def _has_quorum(self, grants: Grants) -> bool:
+        if self.state.is_new_fleet():
+            return set(grants) == self.discovery.founding_slots()
         voter_slots = [
             slot
             for slot, disk_id in grants.items()
-            if self.replica.is_voter(slot, disk_id)
+            if self.state.is_voter(slot, disk_id)
         ]
-        return len(voter_slots) >= voters.quorum(self.replica.voters.current)
+        return len(voter_slots) >= voters.quorum(self.state.voters.current)
 
     async def on_vote_request(
         self, request: messages.VoteRequest
     ) -> messages.VoteReply:
         """Grant or deny a vote; the reply follows once the vote is durable."""
-        replica = self.replica
+        state = self.state
         is_granted = self._may_grant_vote(request)
         if is_granted and not request.is_pre_vote:
-            if request.term > replica.term:
-                replica.observe_term(request.term)
+            if request.term > state.term:
+                state.observe_term(request.term)
             candidate = f'{request.slot}/{request.disk_id}'
-            is_granted = replica.voted_for in ('', candidate)
+            is_granted = state.voted_for in ('', candidate)
             if is_granted:
-                replica.voted_for = candidate
+                state.voted_for = candidate
                 self.reset_deadline()
-        term = replica.term
+        term = state.term
         await self.store_vote()
         return messages.VoteReply(
-            request.seq, term, is_granted, replica.disk.disk_id
+            request.seq, term, is_granted, state.disk.disk_id
         )
 
     def _may_grant_vote(self, request: messages.VoteRequest) -> bool:
-        replica = self.replica
-        log = replica.log
-        min_term = replica.term + (1 if request.is_pre_vote else 0)
+        state = self.state
+        log = state.log
+        min_term = state.term + (1 if request.is_pre_vote else 0)
         if request.term < min_term:
             return False
         if not request.is_transfer and (
-            replica.is_leader
+            state.is_leader
             or clock.now()
-            < self.leader_contact_at + replica.options.election_min_s
+            < self.leader_contact_at + state.options.election_min_s
         ):
             return False
-        if request.last_index == 0 and not self.is_new_fleet():
+        if request.last_index == 0 and not self.state.is_new_fleet():
             return False
         return (request.last_term, request.last_index) >= (
             log.last_term,
--- a/godwitstall/consensus/follower.py
+++ b/godwitstall/consensus/follower.py
@@ -1,19 +1,17 @@
 """Follower side of replication: appends and snapshots from the leader."""
 
-from __future__ import annotations
-
 import asyncio
 import dataclasses
-import typing
 
+from godwitstall.consensus import applier as appliers
+from godwitstall.consensus import election as elections
+from godwitstall.consensus import snapshot_manager
+from godwitstall.consensus import state as state_module
 from godwitstall.consensus import storage
 from godwitstall import errors
 from godwitstall import logs
 from godwitstall import messages
 
-if typing.TYPE_CHECKING:
-    from godwitstall.consensus import replica as replicas
-
 _LOG = logs.get('consensus')
 
 
@@ -30,29 +28,38 @@
 class Follower:
     """Handles the requests of a leader."""
 
-    def __init__(self, replica: replicas.Replica) -> None:
-        self.replica = replica
+    def __init__(
+        self,
+        state: state_module.State,
+        election: elections.Election,
+        applier: appliers.Applier,
+        snapshots: snapshot_manager.SnapshotManager,
+    ) -> None:
+        self.state = state
+        self.election = election
+        self.applier = applier
+        self.snapshots = snapshots
         self._partial_snapshot = _PartialSnapshot()
         # Serializes requests that arrive on an old and on a new link.
         self._lock = asyncio.Lock()
 
     async def _accept_leader(self, term: int, slot: messages.SlotId) -> bool:
         """Return whether the sender leads the current term."""
-        replica = self.replica
-        if term < replica.term:
+        state = self.state
+        if term < state.term:
             return False
-        replica.observe_term(term)
-        replica.follow(slot)
-        await replica.election.store_vote()
-        return replica.term == term
+        state.observe_term(term)
+        self.election.on_leader_contact(slot)
+        await self.election.store_vote()
+        return state.term == term
 
     async def on_append(
         self, request: messages.AppendRequest
     ) -> messages.AppendReply:
         """Store entries; the reply is sent after they are synced."""
-        replica = self.replica
+        state = self.state
         reply = messages.AppendReply(
-            request.seq, replica.term, disk_id=replica.disk.disk_id
+            request.seq, state.term, disk_id=state.disk.disk_id
         )
         async with self._lock:
             if await self._accept_leader(request.term, request.slot):
@@ -61,22 +68,22 @@
                     reply.match_index = retry_index
                 else:
                     self._store_entries(request.entries)
-                    await replica.log.sync()
+                    await state.log.sync()
                     reply.is_success = True
                     reply.match_index = request.previous_index + len(
                         request.entries
                     )
-                    replica.advance_commit(
+                    self.applier.advance_commit(
                         min(request.commit_index, reply.match_index)
                     )
-        reply.term = replica.term
+        reply.term = state.term
         return reply
 
     def _find_conflict(self, request: messages.AppendRequest) -> int | None:
         """Return the previous index for a retry, None if the logs match."""
-        log = self.replica.log
+        log = self.state.log
         previous = request.previous_index
-        if previous <= self.replica.commit_index:
+        if previous <= self.state.commit_index:
             return None
         if previous > log.last_index:
             return log.last_index
@@ -84,52 +91,52 @@
         if term == request.previous_term:
             return None
         # Skip the whole conflicting term, to save requests.
-        while previous > self.replica.commit_index and (
+        while previous > self.state.commit_index and (
             log.term_at(previous) == term
         ):
             previous -= 1
         return previous
 
     def _store_entries(self, entries: list[messages.Entry]) -> None:
-        replica = self.replica
+        state = self.state
         for position, entry in enumerate(entries):
-            if entry.index <= replica.commit_index:
+            if entry.index <= state.commit_index:
                 continue
-            if entry.index <= replica.log.last_index:
-                if replica.log.term_at(entry.index) == entry.term:
+            if entry.index <= state.log.last_index:
+                if state.log.term_at(entry.index) == entry.term:
                     continue
                 _LOG.info('Truncated the log from entry %d.', entry.index)
-                replica.log.truncate(entry.index)
-                replica.voters.truncate(entry.index)
+                state.log.truncate(entry.index)
+                state.voters.truncate(entry.index)
             new_entries = entries[position:]
-            replica.log.append(new_entries)
+            state.log.append(new_entries)
             for new_entry in new_entries:
-                replica.voters.append(new_entry)
+                state.voters.append(new_entry)
             return
 
     async def on_snapshot_chunk(
         self, chunk: messages.SnapshotChunk
     ) -> messages.SnapshotReply:
         """Add a chunk of a snapshot; the last chunk installs the snapshot."""
-        replica = self.replica
+        state = self.state
         reply = messages.SnapshotReply(
-            chunk.seq, replica.term, chunk.offset, replica.disk.disk_id
+            chunk.seq, state.term, chunk.offset, state.disk.disk_id
         )
         async with self._lock:
             if await self._accept_leader(chunk.term, chunk.slot):
                 reply.next_offset = await self._add_chunk(chunk)
-        reply.term = replica.term
+        reply.term = state.term
         return reply
 
     async def _add_chunk(self, chunk: messages.SnapshotChunk) -> int:
         end = chunk.offset + len(chunk.data)
-        if chunk.last_index <= self.replica.commit_index:
+        if chunk.last_index <= self.state.commit_index:
             return end
-        if self.replica.log.matches(chunk.last_index, chunk.last_term):
+        if self.state.log.matches(chunk.last_index, chunk.last_term):
             # The log has all that the snapshot covers, and may have later
             # entries that the leader counts as durable here.
-            await self.replica.log.sync()
-            self.replica.advance_commit(chunk.last_index)
+            await self.state.log.sync()
+            self.applier.advance_commit(chunk.last_index)
             return end
         key = (chunk.term, chunk.last_index, chunk.last_term)
         if self._partial_snapshot.key != key or chunk.offset == 0:
@@ -141,11 +148,11 @@
         if chunk.is_last:
             self._partial_snapshot = _PartialSnapshot()
             try:
-                header, state = await asyncio.to_thread(
+                header, content = await asyncio.to_thread(
                     storage.unpack_snapshot, data, 'The snapshot'
                 )
             except errors.StorageError as e:
                 _LOG.warning('Rejected a snapshot from %s: %s', chunk.slot, e)
                 return 0
-            await self.replica.install_snapshot(header, state, data)
+            await self.snapshots.install(header, content, data)
         return end
--- a/godwitstall/consensus/voter_changes.py
+++ b/godwitstall/consensus/voter_changes.py
@@ -1,25 +1,16 @@
-"""Voter changes, which the leader proposes one at a time.
+"""Rules for voter changes, which the leader proposes one at a time.
 
 A learner that has caught up is promoted to voter of its slot when the disk
 of the slot was replaced. In a fleet with discovery, a learner is also
 promoted when there are too few voters, or to replace an unresponsive voter.
 """
 
-from __future__ import annotations
-
-import typing
-
 from godwitstall import clock
-from godwitstall import codec
+from godwitstall.consensus import peer as peers
+from godwitstall.consensus import state as state_module
 from godwitstall.consensus import voters
-from godwitstall import logs
 from godwitstall import messages
 
-if typing.TYPE_CHECKING:
-    from godwitstall.consensus import replica as replicas
-
-_LOG = logs.get('consensus')
-
 # Maximum number of voters in a fleet with discovery; five tolerate the loss
 # of two.
 _MAX_DISCOVERED_VOTERS = 5
@@ -29,10 +20,10 @@
 
 
 class VoterChanges:
-    """Checks and proposes voter changes on the leader."""
+    """Checks and chooses voter changes on the leader."""
 
-    def __init__(self, replica: replicas.Replica) -> None:
-        self.replica = replica
+    def __init__(self, state: state_module.State) -> None:
+        self.state = state
 
     def rejection_reason(self, change: voters.VoterChange) -> str:
         """Return why a voter change is rejected, '' if it is accepted.
@@ -41,19 +32,19 @@
         changes at a time, and only after an entry of the current term has
         been committed.
         """
-        if self.replica.commit_index < self.replica.term_start_index:
+        if self.state.commit_index < self.state.term_start_index:
             return 'The leader has not committed an entry of its term.'
-        if self.replica.voters.current_index > self.replica.commit_index:
+        if self.state.voters.current_index > self.state.commit_index:
             return 'Another voter change is not committed yet.'
-        current = self.replica.voters.current
+        current = self.state.voters.current
         match change:
             case messages.RemoveVoter(slot, disk_id):
-                if not self.replica.is_voter(slot, disk_id):
+                if not self.state.is_voter(slot, disk_id):
                     return 'The disk is not a voter.'
-                if slot == self.replica.slot:
+                if slot == self.state.slot:
                     return 'The leader cannot remove itself.'
             case messages.AddVoter(voter):
-                peer = self.replica.peers.get(voter.slot)
+                peer = self.state.peers.get(voter.slot)
                 if voter.slot in current:
                     return (
                         'The slot already has a voter; remove the voter first.'
@@ -64,59 +55,61 @@
                     return 'The disk has not caught up.'
         return ''
 
-    def promote_learner(self) -> None:
-        """Propose the next change that makes a caught-up learner a voter.
+    def next_change(self) -> voters.VoterChange | None:
+        """Return the next change that makes a caught-up learner a voter.
 
         A replaced voter is removed first, in a change of its own.
         """
-        if self.replica.is_transferring_leadership:
-            return
-        for peer in self.replica.peers.values():
-            is_alive = (
-                clock.now() - peer.acked_at
-                < self.replica.options.election_min_s
-            )
-            if (
-                not peer.is_caught_up
-                or not is_alive
-                or self.replica.is_voter(peer.slot, peer.disk_id)
-            ):
+        if self.state.is_transferring_leadership:
+            return None
+        for peer in self.state.peers.values():
+            if not self._may_promote(peer):
                 continue
-            replaced = self.replica.voters.current.get(peer.slot)
-            if (
-                replaced is None
-                and len(self.replica.voters.current) >= self._max_voters
-            ):
-                replaced = self._unresponsive_voter()
-                if replaced is None:
-                    continue
-            change: voters.VoterChange
-            if replaced is not None:
-                change = messages.RemoveVoter(replaced.slot, replaced.disk_id)
-            else:
-                change = messages.AddVoter(
-                    messages.Voter(peer.slot, peer.disk_id, peer.address)
-                )
-            if not self.rejection_reason(change):
-                _LOG.info('Proposing a voter change: %s.', change)
-                self.replica.append(codec.encode(change))
-                return
+            change = self._promotion_of(peer)
+            if change is not None and not self.rejection_reason(change):
+                return change
+        return None
+
+    def _may_promote(self, peer: peers.Peer) -> bool:
+        """Return whether peer is a learner that has caught up."""
+        is_alive = (
+            clock.now() - peer.acked_at < self.state.options.election_min_s
+        )
+        return (
+            peer.is_caught_up
+            and is_alive
+            and not self.state.is_voter(peer.slot, peer.disk_id)
+        )
+
+    def _promotion_of(self, peer: peers.Peer) -> voters.VoterChange | None:
+        """Return the next change that promotes a learner, None if none."""
+        current = self.state.voters.current
+        replaced = current.get(peer.slot)
+        if replaced is None and len(current) >= self._max_voters:
+            replaced = self._unresponsive_voter()
+            if replaced is None:
+                return None
+        if replaced is not None:
+            return messages.RemoveVoter(replaced.slot, replaced.disk_id)
+        return messages.AddVoter(
+            messages.Voter(peer.slot, peer.disk_id, peer.address)
+        )
 
     @property
     def _max_voters(self) -> int:
         """Maximum number of voters; further replicas are spares."""
-        return len(self.replica.fleet.control) or _MAX_DISCOVERED_VOTERS
+        return len(self.state.fleet.control) or _MAX_DISCOVERED_VOTERS
 
     def _unresponsive_voter(self) -> messages.Voter | None:
         """Return a voter without a reply for _VOTER_TIMEOUT_S, None if none.
 
         Also returns None until this replica has led for that time.
         """
-        if clock.now() - self.replica.leader_since < _VOTER_TIMEOUT_S:
+        if clock.now() - self.state.leader_since < _VOTER_TIMEOUT_S:
             return None
-        for voter in self.replica.voters.current.values():
-            peer = self.replica.peers.get(voter.slot)
-            if voter.slot == self.replica.slot:
+        for voter in self.state.voters.current.values():
+            peer = self.state.peers.get(voter.slot)
+            if voter.slot == self.state.slot:
                 continue
             if peer is None or clock.now() - peer.acked_at > _VOTER_TIMEOUT_S:
                 return voter
--- a/tests/consensus/test_discovery.py
+++ b/tests/consensus/test_discovery.py
@@ -24,7 +24,7 @@
     async def start(self, *slots: messages.SlotId) -> None:
         for slot in slots or self.slots:
             member = fleets.Member(self, slot)
-            member.replica.options.link_address = self.addresses[slot]
+            member.replica.state.options.link_address = self.addresses[slot]
             self.members[slot] = member
             await member.replica.start()
             host, _, port = self.addresses[slot].rpartition(':')
@@ -54,7 +54,7 @@
         voter_sets = {
             frozenset(
                 (slot, voter.disk_id)
-                for slot, voter in member.replica.voters.current.items()
+                for slot, voter in member.replica.state.voters.current.items()
             )
             for member in self.members.values()
         }
@@ -68,7 +68,7 @@
         """
         voters = self.agreed_voters()
         return voters.keys() == set(slots) and all(
-            voters[slot] == member.replica.disk.disk_id
+            voters[slot] == member.replica.state.disk.disk_id
             for slot, member in self.members.items()
             if slot in voters
         )
@@ -99,7 +99,8 @@
         await fleet.start(*fleet.others(founder))
         await asyncio.sleep(0.5)
         assert not any(
-            member.replica.voters.current for member in fleet.members.values()
+            member.replica.state.voters.current
+            for member in fleet.members.values()
         )
         await fleet.start(founder)
         await fleet.wait_for_voters(*fleet.slots)
--- a/tests/consensus/test_full_disks.py
+++ b/tests/consensus/test_full_disks.py
@@ -148,7 +148,8 @@
                     set(self.acknowledged) - set(member.machine.commands)
                 ),
                 'tasks': [
-                    str(task.get_coro()) for task in member.replica._tasks
+                    str(task.get_coro())
+                    for task in member.replica.tasks.running
                 ],
             }
             for slot, member in self.fleet.members.items()
@@ -166,13 +167,15 @@
         self.disks.folders = {self.fleet.folder(slot)}
         if self.random.random() < 0.4 and slot in self.fleet.members:
             # The disk is full when the replica starts.
-            self.fleet.members[slot].replica._fail(errors.DiskError('killed'))
+            self.fleet.members[slot].replica.tasks.fail(
+                errors.DiskError('killed')
+            )
         if self.random.random() < 0.3:
             other = self.random.choice(self.fleet.others(slot))
             if other in self.fleet.members:
                 # A vote is due.
                 member = self.fleet.members[other]
-                member.replica._step_down()
+                member.replica.state.step_down()
         await asyncio.sleep(self.random.uniform(*_FULL_S))
 
     async def _keep_running(self, slot: messages.SlotId) -> None:
@@ -313,11 +316,11 @@
         member = fleets.Member(fleet, fleet.slots[0])
         await member.replica.start()
         replica = member.replica
-        for task in list(replica._tasks):
+        for task in list(replica.tasks.running):
             task.cancel()
         await asyncio.sleep(0)
-        replica.log.append([messages.Entry(1, 1, 0, b'x')])
-        sync = asyncio.create_task(replica.log.sync())
+        replica.state.log.append([messages.Entry(1, 1, 0, b'x')])
+        sync = asyncio.create_task(replica.state.log.sync())
         await asyncio.sleep(0)
         await replica.close()
         with pytest.raises(errors.DiskError):
@@ -375,7 +378,7 @@
         closed = await _close_but_not_its_links(fleet, slot)
         await fleet.propose(b'2')
         await fleet.stop(other)
-        leader.replica._step_down()
+        leader.replica.state.step_down()
         await fleet.start(slot)
         await fleet.propose(b'3')
         await fleet.wait_until_applied(b'1', b'2', b'3')
--- a/tests/consensus/test_large_commands.py
+++ b/tests/consensus/test_large_commands.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from godwitstall.consensus import replica as replicas
+from godwitstall.consensus import applier as appliers
+from godwitstall.consensus import snapshot_manager
 from tests.consensus import fleet as fleets
 
 _COMMAND_BYTES = 64 * 1024
@@ -24,7 +25,9 @@
 
     There are far fewer commands than make a snapshot due by their number.
     """
-    monkeypatch.setattr(replicas, '_SNAPSHOT_LOG_BYTES', _SNAPSHOT_LOG_BYTES)
+    monkeypatch.setattr(
+        snapshot_manager, '_SNAPSHOT_LOG_BYTES', _SNAPSHOT_LOG_BYTES
+    )
     fleet = fleets.Fleet(tmp_path, 3)
     commands = _commands(60)
 
@@ -35,7 +38,7 @@
 
         def is_bounded() -> bool:
             return all(
-                len(member.replica.log.entries) * _COMMAND_BYTES
+                len(member.replica.state.log.entries) * _COMMAND_BYTES
                 <= 3 * _SNAPSHOT_LOG_BYTES
                 and sum(
                     path.stat().st_size
@@ -61,19 +64,19 @@
     fleet = fleets.Fleet(tmp_path, 1)
     commands = _commands(40)
     batches: list[int] = []
-    apply_batch = replicas.Replica._apply_batch
+    apply_batch = appliers.Applier._apply_batch
 
-    def count_applied(replica: replicas.Replica) -> None:
-        before = replica.applied_index
-        apply_batch(replica)
-        batches.append(replica.applied_index - before)
+    def count_applied(applier: appliers.Applier) -> None:
+        before = applier.state.applied_index
+        apply_batch(applier)
+        batches.append(applier.state.applied_index - before)
 
     async def scenario(_: fleets.Fleet) -> None:
         await fleet.start()
         await fleet.propose(*commands)
         await fleet.stop(fleet.slots[0])
         patched: typing.Any = count_applied
-        monkeypatch.setattr(replicas.Replica, '_apply_batch', patched)
+        monkeypatch.setattr(appliers.Applier, '_apply_batch', patched)
         await fleet.start()
         await fleet.wait_until_applied(*commands)
         assert max(batches) * _COMMAND_BYTES <= 2 * 256 * 1024
--- a/tests/consensus/test_power_loss.py
+++ b/tests/consensus/test_power_loss.py
@@ -200,7 +200,7 @@
 
     def _durable_index(self, slot: messages.SlotId) -> tuple[int, bool]:
         replica = self.fleet.members[slot].replica
-        return replica.log.durable_index, replica.is_leader
+        return replica.state.log.durable_index, replica.is_leader
 
     def _lose_power(
         self, *slots: messages.SlotId
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -101,7 +101,7 @@
     await fleet.start(*fleet.slots[:2])
     first = fleet.members[fleet.slots[0]].replica
     await _wait_for_elections(first)
-    assert not first.is_leader and not first.voters.current
+    assert not first.is_leader and not first.state.voters.current
     await fleet.start(fleet.slots[2])
     await fleet.propose(b'x')
     await fleet.wait_until_applied(b'x')
@@ -156,9 +156,11 @@
         )
     await fleet.start(lagging)
     await fleet.wait_until_applied(*commands)
-    await fleets.wait_until(lambda: leader.replica.log.snapshot_index > 320)
-    await leader.replica.log.sync()
-    assert leader.replica.log.first_index > 200
+    await fleets.wait_until(
+        lambda: leader.replica.state.log.snapshot_index > 320
+    )
+    await leader.replica.state.log.sync()
+    assert leader.replica.state.log.first_index > 200
     assert len(list(fleet.folder(leader.slot).glob('wal-*'))) <= 4
     for slot in fleet.slots:
         await fleet.stop(slot)
@@ -222,13 +224,13 @@
     await fleet.propose(b'before')
     leader = await fleet.leader()
     isolated = fleet.others(leader.slot)[0]
-    term = leader.replica.term
+    term = leader.replica.state.term
     fleet.isolate(isolated)
     await _wait_for_elections(fleet.members[isolated].replica)
     fleet.blocked_pairs.clear()
     await fleet.propose(b'after')
     await fleet.wait_until_applied(b'before', b'after')
-    assert leader.replica.is_leader and leader.replica.term == term
+    assert leader.replica.is_leader and leader.replica.state.term == term
 
 
 @_scenario()
@@ -243,7 +245,7 @@
     await fleet.start(lost)
     replica = fleet.members[lost].replica
     await fleets.wait_until(
-        lambda: replica.is_voter(lost, replica.disk.disk_id)
+        lambda: replica.state.is_voter(lost, replica.state.disk.disk_id)
     )
     await fleet.propose(b'after')
     await fleet.wait_until_applied(*_COMMANDS, b'after')
@@ -278,13 +280,17 @@
     await fleet.start(lost)
     empty = fleet.members[lost].replica
     remaining = fleet.members[lagging].replica
-    await fleets.wait_until(lambda: remaining.peers[lost].link is not None)
+    await fleets.wait_until(
+        lambda: remaining.state.peers[lost].link is not None
+    )
     await _wait_for_elections(remaining)
     assert not empty.is_leader and not remaining.is_leader
     await fleet.start(leader.slot)
     await fleet.propose(b'after')
     await fleet.wait_until_applied(b'before', b'acknowledged', b'after')
-    await fleets.wait_until(lambda: empty.is_voter(lost, empty.disk.disk_id))
+    await fleets.wait_until(
+        lambda: empty.state.is_voter(lost, empty.state.disk.disk_id)
+    )
 
 
 @_scenario()
@@ -359,10 +365,10 @@
             grants: dict[messages.SlotId, messages.DiskId],
             replica: replicas.Replica = replica,
         ) -> None:
-            terms.append(replica.term)
-            replicas.Replica.become_leader(replica, grants)
+            terms.append(replica.state.term)
+            replica.become_leader(grants)
 
-        replica.become_leader = become_leader  # type: ignore[method-assign]
+        replica.election.on_elected = become_leader
     for _ in range(5):
         await asyncio.gather(
             *(
@@ -382,11 +388,11 @@
     await fleet.propose(b'before')
     leader = await fleet.leader()
     slot, other = fleet.others(leader.slot)
-    disk_id = fleet.members[slot].replica.disk.disk_id
+    disk_id = fleet.members[slot].replica.state.disk.disk_id
     unknown = messages.DiskId('unknown')
     rejected: list[messages.Message] = [
         messages.RemoveVoter(slot, unknown),
-        messages.RemoveVoter(leader.slot, leader.replica.disk.disk_id),
+        messages.RemoveVoter(leader.slot, leader.replica.state.disk.disk_id),
         messages.AddVoter(messages.Voter(slot, disk_id)),
     ]
     for change in rejected:
@@ -397,14 +403,16 @@
         assert isinstance(outcome, messages.CommandResult)
         assert not outcome.is_accepted
     await fleet.stop(slot)
-    await fleets.wait_until(lambda: leader.replica.peers[slot].link is None)
+    await fleets.wait_until(
+        lambda: leader.replica.state.peers[slot].link is None
+    )
     removal = codec.encode(messages.RemoveVoter(slot, disk_id))
     results = await asyncio.gather(
         leader.replica.propose(removal, fleets.TIMEOUT_S),
         leader.replica.propose(
             codec.encode(
                 messages.RemoveVoter(
-                    other, fleet.members[other].replica.disk.disk_id
+                    other, fleet.members[other].replica.state.disk.disk_id
                 )
             ),
             fleets.TIMEOUT_S,
@@ -415,10 +423,12 @@
         isinstance(o, messages.CommandResult) and o.is_accepted
         for o in outcomes
     ] == [True, False]
-    assert set(leader.replica.voters.current) == {leader.slot, other}
+    assert set(leader.replica.state.voters.current) == {leader.slot, other}
     # The disk still has its data, so the replica becomes a voter again.
     await fleet.start(slot)
-    await fleets.wait_until(lambda: leader.replica.is_voter(slot, disk_id))
+    await fleets.wait_until(
+        lambda: leader.replica.state.is_voter(slot, disk_id)
+    )
     await fleet.wait_until_applied(b'before')
 
 
@@ -518,7 +528,7 @@
         assert (first.is_granted, second.is_granted) == (True, False)
         await fleet.stop(member.slot)
         member = await _start_passive_member(fleet)
-        assert member.replica.term == 9
+        assert member.replica.state.term == 9
         second = await _send_request(member, _vote_request('c3'))
         again = await _send_request(member, _vote_request('c2'))
         assert (again.is_granted, second.is_granted) == (True, False)
@@ -541,21 +551,21 @@
                 term=1, slot=messages.SlotId('c2'), entries=entries
             ),
         )
-        disk = replica.disk.disk_id
+        disk = replica.state.disk.disk_id
         disks = {slot: messages.DiskId(slot) for slot in fleet.slots}
         disks[member.slot] = disk
-        replica.voters.reset(
+        replica.state.voters.reset(
             0, [messages.Voter(slot, disk) for slot, disk in disks.items()]
         )
-        replica.observe_term(4)
+        replica.state.observe_term(4)
         replica.become_leader(disks)
-        await replica.log.sync()
-        peer = replica.peers[fleet.slots[1]]
+        await replica.state.log.sync()
+        peer = replica.state.peers[fleet.slots[1]]
         peer.disk_id = disks[peer.slot]
         for match_index, commit_index in ((2, 0), (3, 3)):
             peer.match_index = match_index
             replica.on_ack()
-            assert replica.commit_index == commit_index
+            assert replica.state.commit_index == commit_index
 
     options = {'election_min_s': 60.0, 'election_max_s': 61.0}
     fleets.run(scenario, fleets.Fleet(tmp_path, 3, **options))
@@ -584,9 +594,9 @@
         )
         assert appended.is_success and appended.match_index == 2
         # No vote is granted shortly after contact with a leader.
-        member.replica.options.election_min_s = 3600.0
+        member.replica.state.options.election_min_s = 3600.0
         reply = await _send_request(member, _vote_request('c3'))
-        assert not reply.is_granted and member.replica.term == 4
+        assert not reply.is_granted and member.replica.state.term == 4
         member.replica.election.leader_contact_at = -3600.0
         for name, fields in _DENIED_REQUESTS.items():
             request = _vote_request('c3', **{'last_term': 4} | fields)
@@ -664,10 +674,10 @@
             reply = await _send_request(member, request)
             assert reply.is_success is is_success
             assert reply.match_index == match_index
-            assert [e.term for e in member.replica.log.entries] == terms
+            assert [e.term for e in member.replica.state.log.entries] == terms
         await fleet.stop(member.slot)
         member = await _start_passive_member(fleet)
-        assert [e.term for e in member.replica.log.entries] == [1, 2, 3]
+        assert [e.term for e in member.replica.state.log.entries] == [1, 2, 3]
 
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
@@ -698,7 +708,7 @@
             )
             reply = await _send_request(member, chunk)
             assert reply.next_offset == next_offset
-        assert member.replica.commit_index == 0
+        assert member.replica.state.commit_index == 0
 
     fleets.run(scenario, fleets.Fleet(tmp_path, 3))
 
@@ -714,7 +724,7 @@
             monkeypatch.setattr(clock, 'wall_ms', lambda ms=wall_ms: ms)
             await fleet.propose(b'%d' % wall_ms)
         leader = await fleet.leader()
-        times = [e.time_ms for e in leader.replica.log.entries]
+        times = [e.time_ms for e in leader.replica.state.log.entries]
         assert times[-3:] == [5000, 5000, 6000]
 
     monkeypatch.setattr(clock, 'wall_ms', lambda: 1)
--- a/tests/consensus/test_snapshot_again.py
+++ b/tests/consensus/test_snapshot_again.py
@@ -36,11 +36,13 @@
         await asyncio.wait_for(write_started.wait(), fleets.TIMEOUT_S)
         for number in range(2 * _ENTRIES):
             await fleet.propose(b'second %d' % number)
-        applied = member.replica.applied_index
-        assert member.replica.log.snapshot_index < applied - _ENTRIES
+        applied = member.replica.state.applied_index
+        assert member.replica.state.log.snapshot_index < applied - _ENTRIES
         may_finish.set()
         await fleets.wait_until(
-            lambda: member.replica.log.snapshot_index > applied - _ENTRIES
+            lambda: (
+                member.replica.state.log.snapshot_index > applied - _ENTRIES
+            )
         )
 
     fleets.run(scenario, fleet)
--- a/tests/consensus/test_snapshots.py
+++ b/tests/consensus/test_snapshots.py
@@ -37,10 +37,10 @@
         overlap_count = 0
         for start in range(0, 400, 4):
             await _propose(leader, _commands(start, 4))
-            overlap_count += replica._snapshot_lock.locked()
+            overlap_count += replica.snapshots.lock.locked()
         assert overlap_count > 10
-        await fleets.wait_until(lambda: not replica._snapshot_lock.locked())
-        assert replica.log.snapshot_index > 100
+        await fleets.wait_until(lambda: not replica.snapshots.lock.locked())
+        assert replica.state.log.snapshot_index > 100
         await fleet.stop(leader.slot)
         await fleet.start()
         await fleet.propose(b'more')
@@ -71,9 +71,9 @@
         leader = await fleet.leader()
         await _propose(leader, _commands(0, 3 * _ENTRIES))
         await fleets.wait_until(
-            lambda: not leader.replica._snapshot_lock.locked()
+            lambda: not leader.replica.snapshots.lock.locked()
         )
-        first = leader.replica.log.snapshot_index
+        first = leader.replica.state.log.snapshot_index
         assert first
         with monkeypatch.context() as patch:
             if leaves_file:
@@ -131,7 +131,7 @@
 
         leader.machine.freeze = endless_freeze  # type: ignore[method-assign]
         await _propose(leader, _commands(0, 2 * _ENTRIES))
-        assert leader.replica._snapshot_lock.locked() and not closed
+        assert leader.replica.snapshots.lock.locked() and not closed
         await fleet.stop(leader.slot)
         folder = fleet.folder(leader.slot)
         assert closed and not list(folder.glob('*.tmp'))
@@ -150,13 +150,15 @@
         replica = leader.replica
         large = b'x' * 80_000
         await _propose(leader, [large, *_commands(0, _ENTRIES)])
-        await fleets.wait_until(lambda: replica.log.snapshot_index > 0)
-        await fleets.wait_until(lambda: not replica._snapshot_lock.locked())
-        first = replica.log.snapshot_index
+        await fleets.wait_until(lambda: replica.state.log.snapshot_index > 0)
+        await fleets.wait_until(lambda: not replica.snapshots.lock.locked())
+        first = replica.state.log.snapshot_index
         for start in range(0, 200, 10):
             await _propose(leader, _commands(1000 + start, 10))
-        assert replica.log.snapshot_index == first
+        assert replica.state.log.snapshot_index == first
         await _propose(leader, [b'y' * 10_000])
-        await fleets.wait_until(lambda: replica.log.snapshot_index > first)
+        await fleets.wait_until(
+            lambda: replica.state.log.snapshot_index > first
+        )
 
     fleets.run(scenario, fleets.Fleet(tmp_path, 1, snapshot_entries=_ENTRIES))
--- a/tests/consensus/test_unsynced_files.py
+++ b/tests/consensus/test_unsynced_files.py
@@ -87,7 +87,7 @@
 
     async def start_and_lose_power(_: fleets.Fleet) -> None:
         await fleet.start(slot)
-        assert fleet.members[slot].replica.term == vote.term
+        assert fleet.members[slot].replica.state.term == vote.term
         image = disks.image(folder, keeps_later=False)
         await fleet.stop(slot)
         disks.restore(folder, image)
@@ -157,12 +157,12 @@
         )
         later = messages.SnapshotFile(5, 1, 1005, voters, voters_index=1)
         await _send_snapshot(replica.follower, later)
-        assert replica.applied_index == 5
-        assert replica.log.last_index == 9
-        assert replica.log.entries_between(6, 9) == _entries(6, 9)
+        assert replica.state.applied_index == 5
+        assert replica.state.log.last_index == 9
+        assert replica.state.log.entries_between(6, 9) == _entries(6, 9)
         await fleet.stop(slot)
         await fleet.start(slot)
-        assert fleet.members[slot].replica.log.last_index == 9
+        assert fleet.members[slot].replica.state.log.last_index == 9
 
     async def _send_snapshot(
         follower: followers.Follower, header: messages.SnapshotFile
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -273,7 +273,7 @@
             lambda: all(
                 peer.link is not None
                 for replica in fleet_replicas
-                for peer in replica.peers.values()
+                for peer in replica.state.peers.values()
             ),
             'all replicas are linked',
         )
@@ -290,7 +290,7 @@
         self.options |= times
         for process in self.control.values():
             for name, value in times.items():
-                setattr(process.replica.options, name, value)
+                setattr(process.replica.state.options, name, value)
             process.replica.election.reset_deadline()
 
     def partition(
--- a/tests/control/test_configuration_in_force.py
+++ b/tests/control/test_configuration_in_force.py
@@ -93,11 +93,11 @@
             await fleet.apply_note(harness.rate_note(2, 500.0, 702))
             fleet.format(repaired, False)
             await fleet.start(repaired)
-            disk = fleet.control[repaired].replica.disk.disk_id
+            disk = fleet.control[repaired].replica.state.disk.disk_id
             await fleet.apply_note(harness.rate_note(3, 500.0, 703))
             lost = fleet.other_slots(repaired)[0]
             survivor = fleet.other_slots(repaired, lost)[0]
-            voters = fleet.control[survivor].replica.voters
+            voters = fleet.control[survivor].replica.state.voters
             await fakes.until(
                 lambda: (
                     repaired in voters.current
@@ -281,7 +281,7 @@
                 assert result.verdict is _ACCEPTED
             await fakes.until(
                 lambda: all(
-                    process.replica.log.snapshot_index > 64
+                    process.replica.state.log.snapshot_index > 64
                     for process in fleet.control.values()
                 ),
                 'all replicas have taken snapshots',
--- a/tests/recorded/test_recorded.py
+++ b/tests/recorded/test_recorded.py
@@ -67,7 +67,7 @@
     """Replace the recorded addresses of the replicas by those of this run."""
     for slot, process in fleet.control.items():
         found = await fleet.addresses_for(slot)
-        for peer in process.replica.peers.values():
+        for peer in process.replica.state.peers.values():
             peer.address = found[peer.slot]
 
 
