Move the leader's side of a replica to a module of its own

Cause: Replica still held proposals, the commit index, the lease, read barriers and the leadership transfer, beside start, stop and the requests of links. The majority of two kinds of numbers was computed twice. Change: Leader (consensus/leader) does what a replica does while it leads; voters.majority_value() serves the commit index and the lease. Replica.handle() is split into its checks and the reply. Tests: names only (leader.MAX_COMMAND_BYTES, replica.leader.on_ack).

--- a/godwitstall/consensus/election.py
+++ b/godwitstall/consensus/election.py
@@ -235,7 +235,7 @@
             < self.leader_contact_at + state.options.election_min_s
         ):
             return False
-        if request.last_index == 0 and not self.state.is_new_fleet():
+        if request.last_index == 0 and not state.is_new_fleet():
             return False
         return (request.last_term, request.last_index) >= (
             log.last_term,
--- a/godwitstall/consensus/replica.py
+++ b/godwitstall/consensus/replica.py
@@ -1,8 +1,9 @@
 """A replica of the control state: a replicated log with leader election.
 
-Replica combines the classes of this package: the Log, a Peer for each other
-replica, the Election and the Follower. All state changes happen on the event
-loop; only file operations run in threads.
+Replica combines the parts of this package, which share a State: the Election,
+the Leader and the Follower, the Applier and the SnapshotManager, the PeerTable
+and the Discovery. All state changes happen on the event loop; only file
+operations run in threads.
 
 Example:
     replica = Replica.from_config(options, fleet, identity, machine)
@@ -16,19 +17,17 @@
 import typing
 
 from godwitstall import clock
-from godwitstall import codec
 from godwitstall.consensus import applier as appliers
 from godwitstall.consensus import discovery
 from godwitstall.consensus import election
 from godwitstall.consensus import follower
+from godwitstall.consensus import leader as leaders
 from godwitstall.consensus import peer_table as peer_tables
 from godwitstall.consensus import snapshot_manager
 from godwitstall.consensus import snapshots
 from godwitstall.consensus import state as state_module
 from godwitstall.consensus import storage
 from godwitstall.consensus import tasks as tasks_module
-from godwitstall.consensus import voter_changes
-from godwitstall.consensus import voters
 from godwitstall import errors
 from godwitstall import link as links
 from godwitstall import logs
@@ -37,9 +36,13 @@
 
 _LOG = logs.get('consensus')
 
-# A larger command could exceed the frame size of an append request, which
-# would stop replication.
-MAX_COMMAND_BYTES = codec.MAX_FRAME_BYTES // 2
+# Requests of other replicas, apart from introductions.
+_Request = (
+    messages.VoteRequest
+    | messages.AppendRequest
+    | messages.SnapshotChunk
+    | messages.TransferLeadership
+)
 
 format_disk = storage.format_disk
 
@@ -56,7 +59,6 @@
     ) -> None:
         self.state = state_module.State(options, fleet, identity)
         self.state.on_step_down = self._on_step_down
-        self.state.log.on_durable = self.on_ack
         self.slot = self.state.slot
         # Called with is_leader. On a new leader the call follows when the
         # first entry of its term, and so all earlier state, is applied.
@@ -69,9 +71,10 @@
         self.snapshots = snapshot_manager.SnapshotManager(
             self.state, self.applier, self.tasks
         )
-        self.voter_changes = voter_changes.VoterChanges(self.state)
+        self.leader = leaders.Leader(self.state, self.applier)
+        self.state.log.on_durable = self.leader.on_ack
         self.peer_table = peer_tables.PeerTable(
-            self.state, self.tasks, self.on_ack
+            self.state, self.tasks, self.leader.on_ack
         )
         self.discovery = discovery.Discovery(self.state, self.peer_table)
         self.election = election.Election(
@@ -82,8 +85,6 @@
         )
         # Argument of the last call of on_role_change.
         self._reported_is_leader = False
-        # Waiters for the next acknowledgement of any peer.
-        self._ack_waiters: list[asyncio.Future[None]] = []
 
     @classmethod
     def from_config(
@@ -154,39 +155,9 @@
             self.state.is_transferring_leadership = True
             with contextlib.suppress(TimeoutError, errors.GodwitstallError):
                 async with asyncio.timeout(self.state.options.election_max_s):
-                    await self._transfer_leadership()
+                    await self.leader.transfer()
         await self.close()
 
-    async def _transfer_leadership(self) -> None:
-        """Ask an up-to-date voter to run an election."""
-        while (
-            self.is_leader
-            and self.state.commit_index < self.state.log.last_index
-        ):
-            await self._wait_ack()
-        while self.is_leader:
-            candidates = [
-                peer
-                for peer in self.state.peers.values()
-                if peer.link is not None
-                and self.state.is_voter(peer.slot, peer.disk_id)
-                and peer.match_index == self.state.log.last_index
-            ]
-            if candidates:
-                break
-            await self._wait_ack()
-        if not self.is_leader:
-            return
-        peer = max(candidates, key=lambda p: p.acked_at)
-        _LOG.info('Transferring leadership to %s.', peer.slot)
-        if peer.link is not None:
-            await peer.link.request(
-                messages.TransferLeadership(term=self.state.term),
-                self.state.options.election_max_s,
-            )
-        while self.is_leader:
-            await self._wait_ack()
-
     async def close(self) -> None:
         """End all tasks without a leadership transfer, as a crash would.
 
@@ -208,26 +179,17 @@
         )
         while True:
             await asyncio.sleep(tick_s)
-            now = clock.now()
-            if not self.is_leader:
-                if now >= self.election.deadline:
-                    await self.election.campaign()
-                continue
-            acked_at = max(self._majority_acked_at(), self.state.leader_since)
-            if now - acked_at > self.state.options.election_max_s:
-                _LOG.warning(
-                    'Stepping down: no majority of the voters replies.'
-                )
-                self.state.step_down()
-            else:
-                self._promote_learner()
+            if self.is_leader:
+                self.leader.check_majority()
+            elif clock.now() >= self.election.deadline:
+                await self.election.campaign()
 
     # Terms and roles
 
     def _on_step_down(self) -> None:
         self.election.reset_deadline()
         self.applier.fail_proposals()
-        self._wake_ack_waiters()
+        self.leader.wake_ack_waiters()
         self._report_role(False)
 
     def _report_role(self, is_leader: bool) -> None:
@@ -247,14 +209,7 @@
         _LOG.info('Became leader in term %d.', self.state.term)
         if self.state.is_new_fleet():
             self.snapshots.create(self._first_voters(grants))
-        self.state.role = state_module.Role.LEADER
-        self.state.leader_slot = self.slot
-        self.state.is_transferring_leadership = False
-        self.state.leader_since = clock.now()
-        self.state.term_start_index = self.state.log.last_index + 1
-        for peer in self.state.peers.values():
-            peer.reset(self.state.term_start_index)
-        self.append(b'')
+        self.leader.begin_term()
 
     def _first_voters(self, grants: election.Grants) -> list[messages.Voter]:
         return [
@@ -267,72 +222,16 @@
             return self.discovery.own_address
         return self.state.peers[slot].address
 
-    # Proposals
+    # Proposals and reads
 
     async def propose(
         self, command: bytes, timeout_s: float
     ) -> tuple[int, bytes]:
         """Log a command and return its index and result once applied.
 
-        Errors: ControlError of kind NOT_LEADER when the command was not
-        logged, CONTROL_LOST when it may or may not have been, BODY_TOO_LARGE
-        when it is larger than MAX_COMMAND_BYTES.
+        Errors: those of Leader.propose().
         """
-        if len(command) > MAX_COMMAND_BYTES:
-            raise errors.ControlError(errors.ErrorKind.BODY_TOO_LARGE)
-        if not self.is_leader or self.state.is_transferring_leadership:
-            raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
-        change = voters.parse_change(command)
-        if change is not None:
-            reason = self.voter_changes.rejection_reason(change)
-            if reason:
-                return 0, codec.encode(messages.CommandResult(False, reason))
-        index = self.append(command)
-        return await self.applier.wait_result(index, timeout_s)
-
-    def append(self, command: bytes) -> int:
-        """Append a command to the log as leader and return its index."""
-        entry = messages.Entry(
-            self.state.log.last_index + 1,
-            self.state.term,
-            max(clock.wall_ms(), self.state.log.last_time_ms),
-            command,
-        )
-        self.state.log.append([entry])
-        self.state.voters.append(entry)
-        self.state.wake_peers()
-        return entry.index
-
-    def on_ack(self) -> None:
-        """Process an acknowledgement by a peer or by the disk."""
-        if self.is_leader:
-            stored = [
-                self.state.log.durable_index
-                if slot == self.slot
-                else self.state.peers[slot].match_index
-                if slot in self.state.peers
-                and self.state.peers[slot].disk_id == voter.disk_id
-                else 0
-                for slot, voter in self.state.voters.current.items()
-            ]
-            stored.sort(reverse=True)
-            index = stored[voters.quorum(stored) - 1]
-            # An entry of an earlier term can still be truncated, even if a
-            # majority has it, until an entry of this term is committed.
-            if (
-                index >= self.state.term_start_index
-                and index > self.state.commit_index
-            ):
-                self.applier.advance_commit(index)
-                self.state.wake_peers()
-            self._promote_learner()
-        self._wake_ack_waiters()
-
-    def _promote_learner(self) -> None:
-        change = self.voter_changes.next_change()
-        if change is not None:
-            _LOG.info('Proposing a voter change: %s.', change)
-            self.append(codec.encode(change))
+        return await self.leader.propose(command, timeout_s)
 
     async def wait_applied(self, index: int, timeout_s: float) -> None:
         """Wait until this replica has applied the entry at index.
@@ -341,70 +240,16 @@
         """
         await self.applier.wait_applied(index, timeout_s)
 
-    # Reads
-
-    def _majority_acked_at(self) -> float:
-        """Return the time up to which a majority acknowledged this leader."""
-        times = [
-            clock.now()
-            if slot == self.slot
-            else self.state.peers[slot].acked_at
-            if slot in self.state.peers
-            and self.state.peers[slot].disk_id == voter.disk_id
-            else -1.0
-            for slot, voter in self.state.voters.current.items()
-        ]
-        times.sort(reverse=True)
-        return times[voters.quorum(times) - 1]
-
     def holds_lease(self) -> bool:
         """Return whether this leader's lease excludes any other leader."""
-        return (
-            self.is_leader
-            and not self.state.is_transferring_leadership
-            and self.state.commit_index >= self.state.term_start_index
-            and clock.now()
-            < self._majority_acked_at() + self.state.options.leader_lease_s
-        )
+        return self.leader.holds_lease()
 
     async def read_barrier(self, timeout_s: float) -> int:
         """Return a commit index for a linearizable read.
 
-        A majority has confirmed the leader after the call began, or the
-        leader holds its lease.
-
-        Errors: ControlError of kind NOT_LEADER, or CONTROL_LOST when no
-        majority confirms the leader in time.
+        Errors: those of Leader.read_barrier().
         """
-        started_at = clock.now()
-        try:
-            async with asyncio.timeout(timeout_s):
-                while True:
-                    if not self.is_leader:
-                        raise errors.ControlError(errors.ErrorKind.NOT_LEADER)
-                    if self.holds_lease() or (
-                        self.state.commit_index >= self.state.term_start_index
-                        and self._majority_acked_at() >= started_at
-                    ):
-                        return self.state.commit_index
-                    self.state.wake_peers()
-                    await self._wait_ack()
-        except TimeoutError as e:
-            raise errors.ControlError(
-                errors.ErrorKind.CONTROL_LOST,
-                'No majority confirmed the read in time.',
-            ) from e
-
-    async def _wait_ack(self) -> None:
-        future = asyncio.get_running_loop().create_future()
-        self._ack_waiters.append(future)
-        await future
-
-    def _wake_ack_waiters(self) -> None:
-        waiters, self._ack_waiters = self._ack_waiters, []
-        for future in waiters:
-            if not future.done():
-                future.set_result(None)
+        return await self.leader.read_barrier(timeout_s)
 
     # Links
 
@@ -421,63 +266,54 @@
             with contextlib.suppress(errors.LinkError):
                 link.send(directory)
             return True
-        match message:
-            case (
-                messages.VoteRequest()
-                | messages.AppendRequest()
-                | messages.SnapshotChunk()
-                | messages.TransferLeadership()
-            ):
-                pass
-            case _:
-                return False
-        reply: messages.Message
+        if not isinstance(message, _Request):
+            return False
+        reply = await self._reply_to(message, link)
+        with contextlib.suppress(errors.LinkError):
+            link.send(reply)
+        return True
+
+    async def _reply_to(
+        self, request: _Request, link: links.Link
+    ) -> messages.Message:
+        """Return the reply to a request, which is an error unless it ran."""
         if link.peer_role is not messages.Role.CONTROL:
-            reply = messages.Error(
-                message.seq,
+            return messages.Error(
+                request.seq,
                 errors.ErrorKind.NOT_ADMITTED,
                 'The sender is not a replica.',
             )
-        elif self.failure is not None or not self.tasks.running:
-            reply = messages.Error(
-                message.seq,
+        if self.failure is not None or not self.tasks.running:
+            return messages.Error(
+                request.seq,
                 errors.ErrorKind.STOPPING,
                 'The replica is not running.',
             )
-        else:
-            try:
-                reply = await self._dispatch(message, link)
-            except Exception as e:
-                self.tasks.fail(e)
-                reply = messages.Error(
-                    message.seq, errors.ErrorKind.INTERNAL, str(e)
-                )
-        with contextlib.suppress(errors.LinkError):
-            link.send(reply)
-        return True
+        try:
+            return await self._dispatch(request, link)
+        except Exception as e:
+            self.tasks.fail(e)
+            return messages.Error(
+                request.seq, errors.ErrorKind.INTERNAL, str(e)
+            )
 
     async def _dispatch(
-        self,
-        message: messages.VoteRequest
-        | messages.AppendRequest
-        | messages.SnapshotChunk
-        | messages.TransferLeadership,
-        link: links.Link,
+        self, request: _Request, link: links.Link
     ) -> messages.Message:
-        match message:
+        match request:
             case messages.VoteRequest():
-                return await self.election.on_vote_request(message)
+                return await self.election.on_vote_request(request)
             case messages.AppendRequest():
-                return await self.follower.on_append(message)
+                return await self.follower.on_append(request)
             case messages.SnapshotChunk():
-                return await self.follower.on_snapshot_chunk(message)
+                return await self.follower.on_snapshot_chunk(request)
             case messages.TransferLeadership():
                 if (
-                    message.term == self.state.term
+                    request.term == self.state.term
                     and link.peer_id == self.leader_slot
                 ):
                     self.tasks.spawn(self.election.campaign(is_transfer=True))
-                return messages.Done(message.seq)
+                return messages.Done(request.seq)
 
     def leader_link(self) -> links.Link | None:
         """Return the open link to the leader, None if there is none."""
@@ -488,20 +324,21 @@
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the admin listener."""
+        state = self.state
         return {
             'slot': self.slot,
-            'disk_id': self.state.disk.disk_id,
-            'role': self.state.role.value,
-            'term': self.state.term,
+            'disk_id': state.disk.disk_id,
+            'role': state.role.value,
+            'term': state.term,
             'leader': self.leader_slot,
             'holds_lease': self.holds_lease(),
-            'commit_index': self.state.commit_index,
-            'applied_index': self.state.applied_index,
-            'last_index': self.state.log.last_index,
-            'snapshot_index': self.state.log.snapshot_index,
+            'commit_index': state.commit_index,
+            'applied_index': state.applied_index,
+            'last_index': state.log.last_index,
+            'snapshot_index': state.log.snapshot_index,
             'voters': {
                 slot: voter.disk_id
-                for slot, voter in self.state.voters.current.items()
+                for slot, voter in state.voters.current.items()
             },
             'peers': {
                 slot: {
@@ -509,7 +346,7 @@
                     'disk_id': peer.disk_id,
                     'match_index': peer.match_index,
                 }
-                for slot, peer in self.state.peers.items()
+                for slot, peer in state.peers.items()
             },
             'failure': str(self.failure) if self.failure else None,
         }
--- a/godwitstall/consensus/voters.py
+++ b/godwitstall/consensus/voters.py
@@ -6,6 +6,7 @@
 """
 
 import collections.abc
+import typing
 
 from godwitstall import codec
 from godwitstall import errors
@@ -42,6 +43,18 @@
     return len(voters) // 2 + 1
 
 
+_Number = typing.TypeVar('_Number', int, float)
+
+
+def majority_value(values: collections.abc.Iterable[_Number]) -> _Number:
+    """Return the highest number that a majority of the voters has reached.
+
+    There is one value for each voter.
+    """
+    descending = sorted(values, reverse=True)
+    return descending[quorum(descending) - 1]
+
+
 def _apply_change(voters: Voters, change: VoterChange) -> Voters:
     result = dict(voters)
     match change:
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -11,6 +11,7 @@
 
 from godwitstall import clock
 from godwitstall import codec
+from godwitstall.consensus import leader as leaders
 from godwitstall.consensus import replica as replicas
 from godwitstall.consensus import storage
 from godwitstall import errors
@@ -83,7 +84,7 @@
     """Guards against a command whose size stops replication."""
     await fleet.start()
     leader = await fleet.leader()
-    largest = bytes(replicas.MAX_COMMAND_BYTES)
+    largest = bytes(leaders.MAX_COMMAND_BYTES)
     with pytest.raises(errors.ControlError) as caught:
         await leader.replica.propose(largest + b'x', 1.0)
     assert caught.value.kind is _KIND.BODY_TOO_LARGE
@@ -564,7 +565,7 @@
         peer.disk_id = disks[peer.slot]
         for match_index, commit_index in ((2, 0), (3, 3)):
             peer.match_index = match_index
-            replica.on_ack()
+            replica.leader.on_ack()
             assert replica.state.commit_index == commit_index
 
     options = {'election_min_s': 60.0, 'election_max_s': 61.0}
