--- a/godwitstall/consensus/replicator.py
+++ b/godwitstall/consensus/replicator.py
@@ -53,38 +53,41 @@
         """Keep a link open and replicate while this replica leads."""
         retry_interval_s = self.state.options.append_interval_ms / 1000
         while True:
-            try:
-                link = await links.connect(
-                    self.peer.address, self.state.identity
-                )
-            except errors.LinkError as e:
-                _LOG.debug(
-                    'Cannot connect to replica %s: %s', self.peer.slot, e
-                )
-                await asyncio.sleep(retry_interval_s)
-                continue
-            link.closes_when_silent = True
-            self.peer.link = link
-            reader = asyncio.create_task(link.run(_discard_message))
-            reader.add_done_callback(lambda _: self.peer.wake.set())
-            try:
-                while not link.is_closed:
-                    await self._run_once(link)
-            except errors.LinkError as e:
-                _LOG.debug('Link to replica %s failed: %s', self.peer.slot, e)
-            except errors.ControlError as e:
-                # The replica at the other end has failed or was closed. It
-                # may have been started again and accept another link.
-                _LOG.debug(
-                    'Replica %s rejected a request: %s', self.peer.slot, e
-                )
-            finally:
-                self.peer.link = None
-                self.peer.is_caught_up = False
-                link.close()
-                reader.cancel()
+            link = await self._connect()
+            if link is not None:
+                await self._use(link)
             await asyncio.sleep(retry_interval_s)
 
+    async def _connect(self) -> links.Link | None:
+        try:
+            link = await links.connect(self.peer.address, self.state.identity)
+        except errors.LinkError as e:
+            _LOG.debug('Cannot connect to replica %s: %s', self.peer.slot, e)
+            return None
+        link.closes_when_silent = True
+        return link
+
+    async def _use(self, link: links.Link) -> None:
+        """Replicate over a link until it is closed."""
+        peer = self.peer
+        peer.link = link
+        reader = asyncio.create_task(link.run(_discard_message))
+        reader.add_done_callback(lambda _: peer.wake.set())
+        try:
+            while not link.is_closed:
+                await self._run_once(link)
+        except errors.LinkError as e:
+            _LOG.debug('Link to replica %s failed: %s', peer.slot, e)
+        except errors.ControlError as e:
+            # The replica at the other end has failed or was closed. It may
+            # have been started again and accept another link.
+            _LOG.debug('Replica %s rejected a request: %s', peer.slot, e)
+        finally:
+            peer.link = None
+            peer.is_caught_up = False
+            link.close()
+            reader.cancel()
+
     async def _run_once(self, link: links.Link) -> None:
         has_more = False
         timeout_s = None
@@ -105,38 +108,45 @@
         if previous + 1 < log.first_index or previous_term is None:
             await self._send_snapshot(link)
             return True
-        entries = self._next_entries()
+        request = messages.AppendRequest(
+            term=self.state.term,
+            slot=self.state.slot,
+            previous_index=previous,
+            previous_term=previous_term,
+            entries=self._next_entries(),
+            commit_index=self.state.commit_index,
+        )
         last_index = log.last_index
-        term = self.state.term
         sent_at = clock.now()
-        reply = await link.request(
-            messages.AppendRequest(
-                term=term,
-                slot=self.state.slot,
-                previous_index=previous,
-                previous_term=previous_term,
-                entries=entries,
-                commit_index=self.state.commit_index,
-            ),
-            self.state.options.election_max_s,
-        )
+        reply = await link.request(request, self.state.options.election_max_s)
         if not isinstance(
             reply, messages.AppendReply
-        ) or not self._accept_reply(reply.term, term, reply.disk_id, sent_at):
+        ) or not self._accept_reply(
+            reply.term, request.term, reply.disk_id, sent_at
+        ):
             return False
-        if reply.is_success:
-            self.peer.match_index = max(
-                self.peer.match_index, reply.match_index
-            )
-            self.peer.next_index = previous + len(entries) + 1
-            self.peer.is_caught_up = self.peer.next_index > last_index
-        else:
-            self.peer.next_index = max(1, min(previous, reply.match_index + 1))
+        self._process_reply(request, reply, last_index)
         self.on_ack()
         return self.state.is_leader and (
             not reply.is_success or self.peer.next_index <= log.last_index
         )
 
+    def _process_reply(
+        self,
+        request: messages.AppendRequest,
+        reply: messages.AppendReply,
+        last_index: int,
+    ) -> None:
+        """Update the peer; last_index is that of the log at the request."""
+        peer = self.peer
+        previous = request.previous_index
+        if reply.is_success:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = previous + len(request.entries) + 1
+            peer.is_caught_up = peer.next_index > last_index
+        else:
+            peer.next_index = max(1, min(previous, reply.match_index + 1))
+
     def _next_entries(self) -> list[messages.Entry]:
         """Return the entries of the next append request."""
         first = self.peer.next_index
@@ -167,15 +177,7 @@
         return True
 
     async def _send_snapshot(self, link: links.Link) -> None:
-        folder = self.state.folder
-        data = await asyncio.to_thread(storage.read_snapshot, folder)
-        if data is None:
-            raise errors.LinkError(
-                errors.ErrorKind.INTERNAL, 'No snapshot exists.'
-            )
-        header, _ = await asyncio.to_thread(
-            storage.unpack_snapshot, data, 'The newest snapshot'
-        )
+        header, data = await self._read_snapshot()
         _LOG.info(
             'Sending the snapshot at entry %d (%d bytes) to %s.',
             header.last_index,
@@ -185,36 +187,62 @@
         term = self.state.term
         offset = 0
         while offset < len(data):
-            sent_at = clock.now()
-            chunk = data[offset : offset + _SNAPSHOT_CHUNK_BYTES]
-            is_last = offset + len(chunk) == len(data)
-            reply = await link.request(
-                messages.SnapshotChunk(
-                    term=term,
-                    slot=self.state.slot,
-                    last_index=header.last_index,
-                    last_term=header.last_term,
-                    offset=offset,
-                    is_last=is_last,
-                    data=chunk,
-                ),
-                _INSTALL_TIMEOUT_S
-                if is_last
-                else self.state.options.election_max_s,
+            chunk_data = data[offset : offset + _SNAPSHOT_CHUNK_BYTES]
+            chunk = messages.SnapshotChunk(
+                term=term,
+                slot=self.state.slot,
+                last_index=header.last_index,
+                last_term=header.last_term,
+                offset=offset,
+                is_last=offset + len(chunk_data) == len(data),
+                data=chunk_data,
             )
-            if not isinstance(
-                reply, messages.SnapshotReply
-            ) or not self._accept_reply(
-                reply.term, term, reply.disk_id, sent_at
-            ):
+            next_offset = await self._send_chunk(link, chunk)
+            if next_offset is None:
                 return
-            if reply.next_offset == offset:
-                raise errors.LinkError(
-                    errors.ErrorKind.INTERNAL,
-                    'The follower rejected the snapshot.',
-                )
-            offset = min(reply.next_offset, len(data))
+            offset = min(next_offset, len(data))
             self.on_ack()
         self.peer.match_index = max(self.peer.match_index, header.last_index)
         self.peer.next_index = header.last_index + 1
         self.on_ack()
+
+    async def _read_snapshot(self) -> tuple[messages.SnapshotFile, bytes]:
+        """Return the header and the whole file of the newest snapshot."""
+        data = await asyncio.to_thread(
+            storage.read_snapshot, self.state.folder
+        )
+        if data is None:
+            raise errors.LinkError(
+                errors.ErrorKind.INTERNAL, 'No snapshot exists.'
+            )
+        header, _ = await asyncio.to_thread(
+            storage.unpack_snapshot, data, 'The newest snapshot'
+        )
+        return header, data
+
+    async def _send_chunk(
+        self, link: links.Link, chunk: messages.SnapshotChunk
+    ) -> int | None:
+        """Return the offset of the next chunk, None after a change of term.
+
+        Errors: LinkError when the follower rejected the chunk.
+        """
+        sent_at = clock.now()
+        reply = await link.request(
+            chunk,
+            _INSTALL_TIMEOUT_S
+            if chunk.is_last
+            else self.state.options.election_max_s,
+        )
+        if not isinstance(
+            reply, messages.SnapshotReply
+        ) or not self._accept_reply(
+            reply.term, chunk.term, reply.disk_id, sent_at
+        ):
+            return None
+        if reply.next_offset == chunk.offset:
+            raise errors.LinkError(
+                errors.ErrorKind.INTERNAL,
+                'The follower rejected the snapshot.',
+            )
+        return reply.next_offset
