Describe what the refusal of a request does now

Cause: since refusals are built when they are written, the comment of _refuse said more than it does. Change: the doc comment, no code.

--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -281,10 +281,10 @@
             self.has_waiting = True
 
     def _refuse(self, exchange: _Exchange) -> None:
-        """Answer a request that is read while the last responses are pending.
+        """Refuse a request; the response is written in its turn.
 
-        It is written behind them, so that a client that always has a request
-        pending cannot keep the connection.
+        A refusal takes no time, so that a client that always has a request
+        pending cannot keep a connection that is about to close.
         """
         _REFUSED_REQUESTS.inc()
         exchange.request = None
