Let a planned stop last until a drain is recorded

Cause: an unrecorded drain did not count as work of a stopping node. Change: it does, in both kinds of node, until the end of the planned stop. A node whose control cannot be reached and whose upstream has drained takes its whole time to stop.

--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -123,7 +123,11 @@
         self.listener.is_stopping = True
         idle_since = clock.now()
         while clock.now() < end:
-            if self.listener.active_requests or self.owner.active:
+            if (
+                self.listener.active_requests
+                or self.owner.active
+                or self.membership.is_drain_unrecorded()
+            ):
                 idle_since = clock.now()
             if clock.now() - idle_since > _IDLE_BEFORE_EXIT_S:
                 break
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -133,7 +133,10 @@
 
     def _is_busy(self) -> bool:
         return bool(
-            self.owner.active or self.entry.active or self.contexts.running
+            self.owner.active
+            or self.entry.active
+            or self.contexts.running
+            or self.membership.is_drain_unrecorded()
         )
 
     def dump(self) -> dict[str, typing.Any]:
--- a/tests/node/test_acknowledged_drains.py
+++ b/tests/node/test_acknowledged_drains.py
@@ -24,6 +24,9 @@
     1, {}, [{'name': 'orders', 'path_prefix': '/orders', 'service': 'siop'}]
 )
 
+# Longer than the lease and the wait for the last request, seconds.
+_IDLE_STOP_S = 3.0
+
 _NO_CONTENT = 204
 _UNAVAILABLE = 503
 
@@ -127,6 +130,32 @@
     asyncio.run(run())
 
 
+def test_stop_lasts_until_a_drain_is_recorded(tmp_path: pathlib.Path) -> None:
+    """Guards against a node that ends with a drain that control answers late.
+
+    Its upstream finds no process that could acknowledge the drain.
+    """
+
+    async def run() -> None:
+        async with _running(tmp_path, is_stopping=True) as (
+            control,
+            harness,
+            stop,
+        ):
+            assert stop is not None
+            control.is_ignoring_commands = True
+            answer = await harness.announce(state='draining')
+            assert answer.status == _UNAVAILABLE
+            # Longer than an idle node takes to stop.
+            await asyncio.sleep(_IDLE_STOP_S)
+            control.is_ignoring_commands = False
+            await stop
+            drains = control.machine.members.drained_upstreams
+            assert (_NODE, _INCARNATION) in drains
+
+    asyncio.run(run())
+
+
 def test_acknowledged_drain_is_recorded_at_once(
     tmp_path: pathlib.Path,
 ) -> None:
