--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -157,6 +157,8 @@
         # belong to bodies.
         self.received_bytes = 0
         self.received_body_bytes = 0
+        # Number of bytes received since the last read with a part of a body.
+        self.bytes_since_body = 0
         self.parser: typing.Any = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -182,6 +184,7 @@
             return
         self.has_answer_bytes = True
         self.received_bytes += len(data)
+        self.bytes_since_body += len(data)
         try:
             self.parser.feed_data(data)
         except (
@@ -199,11 +202,12 @@
         """Abort an answer with too many bytes outside of the body.
 
         The parser reports a header line, a chunk extension or a trailer only
-        at its end, and buffers the line until then.
+        at its end, and buffers the line until then. Only the framing of
+        chunks grows with the body.
         """
         overhead_bytes = self.received_bytes - self.received_body_bytes
         bound = 2 * MAX_HEADER_BYTES
-        if (
+        if self.bytes_since_body > bound or (
             overhead_bytes
             > bound + _MAX_OVERHEAD_PER_BODY_BYTE * self.received_body_bytes
         ):
@@ -266,6 +270,7 @@
         self.has_answer_bytes = False
         self.received_bytes = 0
         self.received_body_bytes = 0
+        self.bytes_since_body = 0
         self.is_head = is_head
         self.waiter = asyncio.get_running_loop().create_future()
         self.transport.write(request)
@@ -334,6 +339,7 @@
         if self.waiter is None or self.waiter.done():
             return
         self.received_body_bytes += len(body)
+        self.bytes_since_body = 0
         # Late answers to earlier requests may precede the expected one.
         if (
             len(self.body) + len(body) > self.max_answer_bytes
@@ -545,17 +551,19 @@
         finally:
             self.opening_count -= 1
 
+    def make_connection(self) -> _Connection:
+        """Return the protocol of a new connection."""
+        return _Connection(
+            self.max_answer_bytes, self.framing, self.body_memory
+        )
+
     async def _open(self, timeout_s: float) -> _Connection:
         _CONNECTIONS_OPENED.inc()
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(
-                        self.max_answer_bytes, self.framing, self.body_memory
-                    ),
-                    self.host,
-                    self.port,
+                    self.make_connection, self.host, self.port
                 )
         except (OSError, TimeoutError) as e:
             raise errors.RequestError(
