--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstream_client.py
@@ -29,6 +29,7 @@
 
 import httptools
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import metrics
@@ -63,9 +64,9 @@
 # one byte has five.
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 
-# Maximum size of all incomplete bodies together, bytes. An upstream that sends
-# endless answers on many connections must not exhaust the memory of the node,
-# which the platform limits to 200 MB.
+# Maximum size of all incomplete answers together, bytes. An upstream that
+# sends endless answers on many connections must not exhaust the memory of the
+# node, which the platform limits to 200 MB.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 # Fraction of the upstream's Keep-Alive timeout that is used. The rest allows
@@ -125,11 +126,12 @@
         self,
         max_answer_bytes: int,
         framing: Framing,
-        body_memory: '_BodyMemory',
+        budget: byte_budget.ByteBudget,
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
         self.framing = framing
-        self.body_memory = body_memory
+        # Shared by the connections of the client.
+        self.budget = budget
         # Id that the answer must return; empty if the request has none.
         self.request_id = b''
         # Whether a final answer was received on this connection.
@@ -140,6 +142,8 @@
         self.is_closed = False
         # Time at which the last answer was complete, seconds.
         self.idle_since = 0.0
+        # Time of the last read, seconds.
+        self.moved_at = 0.0
         # Whether the connection can carry another request.
         self.is_reusable = True
         self.waiter: asyncio.Future[UpstreamAnswer] | None = None
@@ -183,6 +187,7 @@
             self.close()
             return
         self.has_answer_bytes = True
+        self.moved_at = clock.recent()
         self.received_bytes += len(data)
         self.bytes_since_body += len(data)
         try:
@@ -197,6 +202,7 @@
             if not self.waiter.done():
                 self.fail(errors.ErrorKind.ANSWER_CUT, f'Bad answer: {e}.')
         self._check_overhead()
+        self.budget.add(len(data))
 
     def _check_overhead(self) -> None:
         """Abort an answer with too many bytes outside of the body.
@@ -268,6 +274,7 @@
         self.has_all_headers = False
         self.parser = httptools.HttpResponseParser(self)
         self.has_answer_bytes = False
+        self.moved_at = clock.recent()
         self.received_bytes = 0
         self.received_body_bytes = 0
         self.bytes_since_body = 0
@@ -289,10 +296,6 @@
         self.answer_headers = []
         self.header_bytes = 0
         self.has_all_headers = False
-        self._clear_body()
-
-    def _clear_body(self) -> None:
-        self.body_memory.size -= len(self.body)
         self.body = bytearray()
 
     def on_status(self, reason: bytes) -> None:
@@ -348,7 +351,6 @@
             self.abort_oversized()
             return
         self.body += body
-        self.body_memory.add(len(body))
 
     def _content_length(self) -> int:
         """Return the body length from Content-Length, 0 if there is none."""
@@ -433,26 +435,23 @@
     def clear_answer(self) -> None:
         """Free the memory of an answer that was returned or aborted."""
         self.answer_headers = []
-        self._clear_body()
-
+        self.body = bytearray()
+        self.header_bytes = 0
+        self.bytes_since_body = 0
 
-class _BodyMemory:
-    """Counts and limits the body bytes buffered by one client."""
+    def held_bytes(self) -> int:
+        """Return the size of the answer so far, as ByteBudget counts it."""
+        return (
+            len(self.body)
+            + self.header_bytes
+            + len(self.answer_headers) * byte_budget.HEADER_OBJECT_BYTES
+            + self.bytes_since_body
+        )
 
-    def __init__(self, connections: set[_Connection]) -> None:
-        # Connections that are running a request.
-        self.connections = connections
-        # Number of buffered bytes.
-        self.size = 0
-
-    def add(self, size: int) -> None:
-        """Count bytes; above the limit, abort the answer with longest body."""
-        self.size += size
-        if self.size <= MAX_BUFFERED_BYTES:
-            return
-        open_answers = [c for c in self.connections if not c.is_closed]
-        if open_answers:
-            max(open_answers, key=lambda c: len(c.body)).abort_oversized()
+    def release_bytes(self) -> None:
+        """Abort the answer, so that others can be received."""
+        self.abort_oversized()
+        self.clear_answer()
 
 
 class UpstreamClient:
@@ -478,7 +477,9 @@
         self.idle: list[_Connection] = []
         # Connections that are running a request.
         self.busy: set[_Connection] = set()
-        self.body_memory = _BodyMemory(self.busy)
+        self.budget = byte_budget.ByteBudget(
+            'answers', MAX_BUFFERED_BYTES, self.busy
+        )
         # Number of connections that are being opened for a request.
         self.opening_count = 0
 
@@ -553,9 +554,7 @@
 
     def make_connection(self) -> _Connection:
         """Return the protocol of a new connection."""
-        return _Connection(
-            self.max_answer_bytes, self.framing, self.body_memory
-        )
+        return _Connection(self.max_answer_bytes, self.framing, self.budget)
 
     async def _open(self, timeout_s: float) -> _Connection:
         _CONNECTIONS_OPENED.inc()
--- a/tests/node/test_bytes_behind_a_body.py
+++ b/tests/node/test_bytes_behind_a_body.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import tracemalloc
 import typing
 
 import pytest
@@ -97,3 +98,76 @@
         assert len((await answer).body) == _BODY_BYTES + 100_000
 
     asyncio.run(scenario())
+
+
+# Endless parts that lie before or behind a body of no size.
+_PARTS_OUTSIDE_OF_BODIES = {
+    'header value': b'HTTP/1.1 200 OK\r\nx-a: ',
+    'trailer value': (
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx-a: '
+    ),
+}
+
+
+@pytest.mark.parametrize('name', _PARTS_OUTSIDE_OF_BODIES)
+def test_heads_and_trailers_count_in_the_limit_of_all_answers(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against memory outside of bodies that grows with connections."""
+    limit_bytes = 512 * 1024
+    monkeypatch.setattr(upstream_client, 'MAX_BUFFERED_BYTES', limit_bytes)
+
+    async def scenario() -> None:
+        client = upstream_client.UpstreamClient(
+            '127.0.0.1', 1, 64, _MAX_ANSWER_BYTES
+        )
+        answers = []
+        for _ in range(64):
+            connection = client.make_connection()
+            connection.connection_made(_Transport())
+            client.busy.add(connection)
+            answers.append(connection.start(b'', False))
+            connection.data_received(_PARTS_OUTSIDE_OF_BODIES[name])
+            for _ in range(3):
+                connection.data_received(b'x' * _PIECE_BYTES)
+        is_cut = [answer.done() for answer in answers]
+        open_bytes = is_cut.count(False) * 3 * _PIECE_BYTES
+        assert open_bytes <= limit_bytes + _PIECE_BYTES
+        for answer in answers:
+            if answer.done():
+                error = answer.exception()
+                assert isinstance(error, errors.RequestError)
+                assert error.kind is errors.ErrorKind.ANSWER_CUT
+
+    asyncio.run(scenario())
+
+
+def test_small_header_lines_count_as_what_they_take(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against heads whose objects take 30 times their bytes."""
+    limit_bytes = 4 * 1024 * 1024
+    monkeypatch.setattr(upstream_client, 'MAX_BUFFERED_BYTES', limit_bytes)
+    lines = b'a: b\r\n' * 2000
+
+    async def scenario() -> int:
+        client = upstream_client.UpstreamClient(
+            '127.0.0.1', 1, 64, _MAX_ANSWER_BYTES
+        )
+        tracemalloc.start()
+        try:
+            for _ in range(64):
+                connection = client.make_connection()
+                connection.connection_made(_Transport())
+                client.busy.add(connection)
+                connection.start(b'', False).add_done_callback(
+                    lambda answer: answer.exception()
+                )
+                connection.data_received(b'HTTP/1.1 200 OK\r\n')
+                for _ in range(8):
+                    connection.data_received(lines)
+            return tracemalloc.get_traced_memory()[1]
+        finally:
+            tracemalloc.stop()
+
+    assert asyncio.run(scenario()) < 2 * limit_bytes
--- a/tests/node/test_endless_answers.py
+++ b/tests/node/test_endless_answers.py
@@ -110,7 +110,7 @@
                 errors.Outcome.UNKNOWN
             )
             assert not client.busy and not client.idle
-            assert client.body_memory.size == 0
+            assert client.budget.held_bytes() == 0
             assert sent[0] < 10 * _MAX_ANSWER_BYTES + _SOCKET_BUFFER_BYTES
 
     asyncio.run(scenario())
@@ -126,7 +126,7 @@
             assert errors.ANSWERS[error.kind].outcome is (
                 errors.Outcome.UNKNOWN
             )
-            assert not client.busy and client.body_memory.size == 0
+            assert not client.busy and client.budget.held_bytes() == 0
 
     asyncio.run(scenario())
 
@@ -170,7 +170,7 @@
             assert {error.kind for error in request_errors} == {
                 errors.ErrorKind.ANSWER_CUT
             }
-            assert client.body_memory.size == 0
+            assert client.budget.held_bytes() == 0
 
     asyncio.run(scenario())
     assert peak < bound + _SOCKET_BUFFER_BYTES
