--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -64,6 +64,8 @@
         # Bytes received since the last request ended, until the headers of
         # the next one are complete.
         self.header_bytes = 0
+        # Bytes received since the headers or the last part of the body.
+        self.bytes_since_body = 0
         self._reset()
 
     def _reset(self) -> None:
@@ -90,10 +92,12 @@
 
     def feed(self, data: bytes) -> None:
         """Parse bytes, which may hold any part of any number of requests."""
+        # The parser reports a header line, a chunk extension or a trailer only
+        # when it is complete, so its callbacks cannot limit an incomplete one.
         if self.is_in_headers:
-            # The parser reports a header line only when it is complete, so its
-            # callbacks cannot limit an incomplete line.
             self.header_bytes += len(data)
+        else:
+            self.bytes_since_body += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -103,9 +107,10 @@
             if not self.is_stopped:
                 _LOG.info('Bad request: %s.', e)
                 self.receiver.reject(errors.ErrorKind.BAD_REQUEST)
-        if self.is_in_headers and self.header_bytes > (
-            self.limits.max_header_bytes
-        ):
+        outside_bytes = (
+            self.header_bytes if self.is_in_headers else self.bytes_since_body
+        )
+        if outside_bytes > self.limits.max_header_bytes:
             self.receiver.reject(errors.ErrorKind.HEADERS_TOO_LARGE)
 
     # Callbacks of httptools.HttpRequestParser.
@@ -128,6 +133,7 @@
 
     def on_headers_complete(self) -> None:
         self.is_in_headers = False
+        self.bytes_since_body = 0
         if self.is_stopped:
             return
         if not self.url.startswith(b'/'):
@@ -200,6 +206,7 @@
 
     def on_body(self, body: bytes) -> None:
         self.body_bytes += len(body)
+        self.bytes_since_body = 0
         if self.body_bytes > self.limits.max_body_bytes:
             self.receiver.reject(errors.ErrorKind.BODY_TOO_LARGE)
             self.body.clear()
