--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -66,6 +66,7 @@
     CHAIN_OVERLOADED = 34
     CUT_BY_STOP = 35
     HEADERS_LATE = 36
+    BODY_LATE = 37
 
     # Enum.__hash__ is a Python function, which is slow for the table lookups
     # of each response.
@@ -106,6 +107,9 @@
     ErrorKind.HEADERS_LATE: AnswerRule(
         408, _NOT_RUN, False, 'The request headers were not sent in time.'
     ),
+    ErrorKind.BODY_LATE: AnswerRule(
+        408, _NOT_RUN, False, 'The request body was not sent in time.'
+    ),
     ErrorKind.BODY_TOO_LARGE: AnswerRule(
         413, _NOT_RUN, False, 'The request body is too large.'
     ),
--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -114,6 +114,8 @@
         self.has_waiting = False
         # When the last response was written, or the connection was made.
         self.last_active_at = clock.recent()
+        # When the client last sent bytes, or could not be expected to.
+        self.received_at = clock.recent()
         # The connection is closed behind the pending responses. Requests are
         # read, and refused without being passed to the handler.
         self.is_refusing = False
@@ -214,6 +216,7 @@
                 len(data), is_answered=str(self.is_lingering).lower()
             )
             return
+        self.received_at = clock.recent()
         if (
             self.exchanges
             or self.unparsed
@@ -261,6 +264,7 @@
         """Ask for the body of a request if no response is due before it."""
         if not self.exchanges:
             self.parser.expects_continue = False
+            self.received_at = clock.recent()
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_request(
@@ -423,7 +427,7 @@
         return bool(poll.poll(0))
 
     def check_timeouts(self, now: float) -> None:
-        """Close the connection if it is idle or done, or headers are late.
+        """Close the connection if it is idle or done, or a request is late.
 
         A client that leaves while reading is paused is noticed here, too.
         """
@@ -435,15 +439,24 @@
             if self._has_lingered(now):
                 self.transport.close()
         elif self.parser.request_started_at:
-            if not self._may_parse():
-                # The rest of the headers may have arrived.
-                self.parser.request_started_at = now
-            elif self.parser.is_in_headers and (
-                now - self.parser.request_started_at > limits.header_timeout_s
-            ):
-                self.reject(errors.ErrorKind.HEADERS_LATE)
+            self._check_half_read_request(now)
         elif not (self.exchanges or self.unparsed) and (
             now - self.last_active_at > limits.idle_timeout_s
         ):
             self.parser.is_stopped = True
             self.transport.close()
+
+    def _check_half_read_request(self, now: float) -> None:
+        limits = self.listener.limits
+        if not self._may_parse():
+            # The rest of the request may have arrived.
+            self.parser.request_started_at = self.received_at = now
+        elif self.parser.is_in_headers:
+            started_at = self.parser.request_started_at
+            if now - started_at > limits.header_timeout_s:
+                self.reject(errors.ErrorKind.HEADERS_LATE)
+        elif self.exchanges:
+            # The client may wait for a response first.
+            self.received_at = now
+        elif now - self.received_at > limits.idle_timeout_s:
+            self.reject(errors.ErrorKind.BODY_LATE)
