--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -13,6 +13,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import delivery as delivery_module
 from godwitstall import errors
 from godwitstall import event_loop
 from godwitstall import http_messages
@@ -105,6 +106,8 @@
         self.listener = listener
         self.handler = handler
         self.transport: typing.Any = None
+        # Set with the transport.
+        self.delivery: delivery_module.Delivery | None = None
         # Once it is stopped, no more requests are read; pending responses are
         # still sent.
         self.parser = http_parser.RequestParser(listener.limits, self)
@@ -132,6 +135,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        self.delivery = delivery_module.Delivery(transport)
         self.transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         self.listener.connections.add(self)
 
@@ -426,15 +430,27 @@
         poll.register(client_socket.fileno(), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def _is_stalled(self, now: float) -> bool:
+        """Return whether the client does not read its responses."""
+        assert self.delivery is not None
+        self.delivery.update(now)
+        return self.delivery.is_stalled(
+            now, self.listener.limits.idle_timeout_s
+        )
+
+    def _abort(self) -> None:
+        """Close the connection at once, and discard what is unsent."""
+        self._on_client_left()
+        self.transport.abort()
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle or done, or a request is late.
 
         A client that leaves while reading is paused is noticed here, too.
         """
         limits = self.listener.limits
-        if self._is_left_unread():
-            self._on_client_left()
-            self.transport.abort()
+        if self._is_left_unread() or self._is_stalled(now):
+            self._abort()
         elif self.is_lingering:
             if self._has_lingered(now):
                 self.transport.close()
--- a/tests/listener/test_stalled_requests.py
+++ b/tests/listener/test_stalled_clients.py
@@ -1,6 +1,7 @@
 """Clients that stop in the middle of a request, or of a response."""
 
 import asyncio
+import collections.abc
 
 import pytest
 
@@ -10,6 +11,7 @@
 _TIMEOUT_S = 10.0
 _IDLE_TIMEOUT_S = 0.3
 
+_GET = b'GET /a HTTP/1.1\r\nhost: a\r\n\r\n'
 _CHUNKED = b'POST /a HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n'
 _HALF_REQUESTS = {
     'body with a length': (
@@ -100,3 +102,54 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def _large_response(
+    size: int,
+) -> collections.abc.Callable[
+    [http_messages.Request], collections.abc.Awaitable[http_messages.Response]
+]:
+    async def serve(request: http_messages.Request) -> http_messages.Response:
+        return http_messages.Response(200, [], bytes(size))
+
+    return serve
+
+
+def test_response_that_is_never_read_ends_at_the_idle_timeout() -> None:
+    """Guards against responses that are kept for a client for good."""
+
+    async def scenario() -> None:
+        serve = _large_response(32 * 1024 * 1024)
+        async with connections.listening(serve) as (listener, address):
+            listener.limits.idle_timeout_s = 0.3
+            _, writer = await connections.connect(address)
+            writer.write(_GET)
+            async with asyncio.timeout(_TIMEOUT_S):
+                await connections.until(lambda: bool(listener.connections))
+                await connections.until(lambda: not listener.connections)
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_response_that_is_read_slowly_is_whole() -> None:
+    """Guards against a timeout that cuts a response which is still read."""
+
+    async def scenario() -> None:
+        size = 16 * 1024 * 1024
+        async with connections.listening(_large_response(size)) as (
+            listener,
+            address,
+        ):
+            listener.limits.idle_timeout_s = 1.0
+            reader, writer = await connections.connect(address)
+            writer.write(_GET)
+            async with asyncio.timeout(_TIMEOUT_S):
+                await reader.readuntil(b'\r\n\r\n')
+            for _ in range(16):
+                await asyncio.sleep(0.25)
+                async with asyncio.timeout(_TIMEOUT_S):
+                    await reader.readexactly(size // 16)
+            writer.close()
+
+    asyncio.run(scenario())
