--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -435,7 +435,7 @@
         assert self.delivery is not None
         self.delivery.update(now)
         return self.delivery.is_stalled(
-            now, self.listener.limits.idle_timeout_s
+            now, self.listener.limits.delivery_timeout_s
         )
 
     def _abort(self) -> None:
--- a/godwitstall/http_messages.py
+++ b/godwitstall/http_messages.py
@@ -30,6 +30,9 @@
     header_timeout_s: float = 10.0
     # Time after which a connection without requests is closed.
     idle_timeout_s: float = 75.0
+    # Time after which a connection is closed whose client has received nothing
+    # of the responses that are sent to it.
+    delivery_timeout_s: float = 60.0
     # Number of requests of one connection that are handled at the same time.
     # No more are parsed while as many are pending.
     max_pipelined_requests: int = 32
