--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -44,8 +44,9 @@
 class Holder(typing.Protocol):
     """A part of the process that holds bytes for one peer."""
 
-    # Time at which its bytes last moved, seconds of clock.recent().
-    moved_at: float
+    @property
+    def moved_at(self) -> float:
+        """Time at which its bytes last moved, seconds of clock.recent()."""
 
     def held_bytes(self) -> int:
         """Return the number of bytes that it holds now."""
--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -67,6 +67,7 @@
     CUT_BY_STOP = 35
     HEADERS_LATE = 36
     BODY_LATE = 37
+    MEMORY_FULL = 38
 
     # Enum.__hash__ is a Python function, which is slow for the table lookups
     # of each response.
@@ -134,6 +135,12 @@
     ErrorKind.OVERLOADED: AnswerRule(
         503, _NOT_RUN, True, 'The upstream has no free slot.'
     ),
+    ErrorKind.MEMORY_FULL: AnswerRule(
+        503,
+        _NOT_RUN,
+        False,
+        'The process holds too many bytes of unfinished requests.',
+    ),
     ErrorKind.CHAIN_OVERLOADED: AnswerRule(
         503,
         _NOT_RUN,
--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -12,6 +12,7 @@
 import select
 import typing
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import delivery as delivery_module
 from godwitstall import errors
@@ -74,6 +75,8 @@
 
     # None for an invalid request, and once the handler has been started.
     request: http_messages.Request | None = None
+    # Size of the body of the request.
+    body_bytes: int = 0
     # None until the handler has returned or the request has been cut.
     response: http_messages.Response | None = None
     # Whether the request gets the response of a stop. It is built when it is
@@ -83,11 +86,19 @@
     is_head: bool = False
     task: asyncio.Task[None] | None = None
 
+    def held_bytes(self) -> int:
+        """Return the size of the body of the request or the response."""
+        if self.response is None:
+            return self.body_bytes
+        return len(self.response.body)
+
 
 class Server(typing.Protocol):
     """The state that the connections of a listener share."""
 
     limits: http_messages.Limits
+    # Bounds the bytes of all connections together.
+    budget: byte_budget.ByteBudget
     respond_to_error: http_messages.ErrorResponder
     connections: set['Connection']
     # Number of requests that are being handled.
@@ -231,6 +242,7 @@
             self._parse_requests()
         else:
             self.parser.feed(data)
+        self.listener.budget.add(len(data))
 
     def _parse_requests(self) -> None:
         """Parse received bytes as far as the pending requests allow it."""
@@ -277,7 +289,9 @@
         """Start the handler of a request, or refuse the request."""
         if closes_connection:
             self.parser.is_stopped = True
-        exchange = _Exchange(request, is_head=request.method == 'HEAD')
+        exchange = _Exchange(
+            request, len(request.body), is_head=request.method == 'HEAD'
+        )
         self.exchanges.append(exchange)
         if self.is_refusing:
             self._refuse(exchange)
@@ -296,6 +310,7 @@
         """
         _REFUSED_REQUESTS.inc()
         exchange.request = None
+        exchange.body_bytes = 0
         exchange.is_refused = True
 
     def _start_handler(self, exchange: _Exchange) -> None:
@@ -354,6 +369,7 @@
         if response.closes_connection:
             self.is_refusing = True
         self._flush()
+        self.listener.budget.add(len(response.body))
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
@@ -476,3 +492,31 @@
             self.received_at = now
         elif now - self.received_at > limits.idle_timeout_s:
             self.reject(errors.ErrorKind.BODY_LATE)
+
+    # Methods for the budget of the listener.
+
+    @property
+    def moved_at(self) -> float:
+        """Time at which the client last read or sent something, seconds."""
+        if self.delivery is not None and self.delivery.unsent_bytes():
+            return self.delivery.moved_at
+        return self.received_at
+
+    def held_bytes(self) -> int:
+        """Return the size of what is read, handled, and not yet sent."""
+        unsent_bytes: int = self.transport.get_write_buffer_size()
+        return (
+            len(self.unparsed)
+            + self.parser.held_bytes()
+            + sum(exchange.held_bytes() for exchange in self.exchanges)
+            + unsent_bytes
+        )
+
+    def release_bytes(self) -> None:
+        """Reject a half-read request, or abort responses that are not read."""
+        if self.parser.request_started_at and not self.parser.is_stopped:
+            self.reject(errors.ErrorKind.MEMORY_FULL)
+            self.parser.discard()
+            self.unparsed.clear()
+        elif self.is_write_paused:
+            self._abort()
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http_listener.py
@@ -20,6 +20,7 @@
 import contextlib
 import socket
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import http_connection
 from godwitstall import http_messages
@@ -30,6 +31,11 @@
 
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 
+# Maximum size of the requests and responses that all connections hold
+# together, bytes. With the answers of the upstream it must fit into the 200 MB
+# that the platform allows.
+MAX_HELD_BYTES = 64 * 1024 * 1024
+
 # A graceful close first waits this long for the first bytes of connections
 # that have just been accepted.
 _FIRST_READ_WAIT_S = 0.05
@@ -62,6 +68,9 @@
         # answered.
         self.is_stopping = False
         self.connections: set[http_connection.Connection] = set()
+        self.budget = byte_budget.ByteBudget(
+            'requests', MAX_HELD_BYTES, self.connections
+        )
         self.servers: dict[str, asyncio.Server] = {}
         # The listening sockets of the servers.
         self.sockets: dict[str, socket.socket] = {}
--- a/godwitstall/http_parser.py
+++ b/godwitstall/http_parser.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import http_messages
@@ -90,6 +91,23 @@
         method: bytes = self.parser.get_method()
         return bool(self.request_started_at and self.url) and method == b'HEAD'
 
+    def held_bytes(self) -> int:
+        """Return the size of the request that is half read."""
+        if not self.request_started_at:
+            return 0
+        return (
+            self.header_bytes
+            + len(self.headers) * byte_budget.HEADER_OBJECT_BYTES
+            + self.bytes_since_body
+            + self.body_bytes
+        )
+
+    def discard(self) -> None:
+        """Free the request that is half read; its connection is closing."""
+        self.is_stopped = True
+        self.request_started_at = 0.0
+        self._reset()
+
     def feed(self, data: bytes) -> None:
         """Parse bytes, which may hold any part of any number of requests."""
         # The parser reports a header line, a chunk extension or a trailer only
