--- a/godwitstall/control/barrier.py
+++ b/godwitstall/control/barrier.py
@@ -18,6 +18,10 @@
 # would keep the event loop busy.
 _NO_LEADER_DELAY_S = 0.1
 
+# Delay after a failed round for callers that wait for a leader. A former
+# leader refuses at once.
+_RETRY_DELAY_S = 0.05
+
 
 class Barrier:
     """Read barrier of one replica, shared by concurrent callers."""
@@ -49,6 +53,24 @@
                 errors.ErrorKind.CONTROL_LOST, 'The read barrier timed out.'
             ) from e
 
+    async def wait_for_leader(self, timeout_s: float) -> None:
+        """Wait like wait(), through an election as well.
+
+        A client that reads has time to wait for the next leader. A failure
+        sends it to the other replicas, which take part in the same election.
+
+        Errors: those of the last round within timeout_s.
+        """
+        deadline = clock.now() + timeout_s
+        while True:
+            try:
+                await self.wait(deadline - clock.now())
+                return
+            except errors.ControlError:
+                if self.is_stopped or clock.now() >= deadline:
+                    raise
+            await asyncio.sleep(_RETRY_DELAY_S)
+
     async def run(self) -> None:
         """Run rounds until cancelled.
 
--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -201,7 +201,7 @@
         Errors: ControlError when this replica cannot confirm that the
         document is the latest.
         """
-        await self.barrier.wait(_REQUEST_TIMEOUT_S)
+        await self.barrier.wait_for_leader(_REQUEST_TIMEOUT_S)
         return self.machine.configuration.document
 
     async def _propose(self, request: messages.Propose) -> _Reply:
@@ -231,7 +231,7 @@
         return typing.cast(messages.GrantReply, reply)
 
     async def _query(self, request: messages.Query) -> _Reply:
-        await self.barrier.wait(_REQUEST_TIMEOUT_S)
+        await self.barrier.wait_for_leader(_REQUEST_TIMEOUT_S)
         if request.kind is messages.QueryKind.STATUS:
             return messages.QueryReply(body=self._encode_status())
         if request.kind is messages.QueryKind.DOCUMENT:
