--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -12,19 +12,19 @@
 from godwitstall import link as link_module
 from godwitstall import logs
 from godwitstall import messages
-from godwitstall.node import admission as admission_module
-from godwitstall.node import claims
-from godwitstall.node import context
-from godwitstall.node import control_session
-from godwitstall.node import crashes
+from godwitstall.node.callers import admission as admission_module
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import dispatch
-from godwitstall.node import forward
-from godwitstall.node import membership
-from godwitstall.node import peer_server
-from godwitstall.node import relay
-from godwitstall.node import upstream as upstream_module
-from godwitstall.node import upstream_client
+from godwitstall.node.peers import forward
+from godwitstall.node.peers import peer_server
+from godwitstall.node.peers import relay
+from godwitstall.node.requests import context
+from godwitstall.node.sessions import claims
+from godwitstall.node.sessions import control_session
+from godwitstall.node.sessions import crashes
+from godwitstall.node.sessions import membership
+from godwitstall.node.upstreams import upstream as upstream_module
+from godwitstall.node.upstreams import upstream_answer
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
@@ -69,7 +69,7 @@
         options: settings.NodeOptions,
         fleet: settings.FleetOptions,
         dialect: dialect_module.Dialect | None = None,
-        framing: upstream_client.Framing | None = None,
+        framing: upstream_answer.Framing | None = None,
     ) -> None:
         self.options = options
         identity = link_module.Identity(
--- /dev/null
+++ b/godwitstall/node/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What a node does for the callers on its own VM."""
--- a/godwitstall/node/admission.py
+++ b/godwitstall/node/callers/admission.py
@@ -10,9 +10,9 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall.node import context
-from godwitstall.node import control_session
 from godwitstall.node import planned_stop as planned_stop_module
+from godwitstall.node.requests import context
+from godwitstall.node.sessions import control_session
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
 
--- a/godwitstall/node/entry.py
+++ b/godwitstall/node/callers/entry.py
@@ -19,16 +19,16 @@
 from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import admission as admission_module
-from godwitstall.node import announcements
-from godwitstall.node import context
-from godwitstall.node import control_session
-from godwitstall.node import digests
+from godwitstall.node.callers import admission as admission_module
 from godwitstall.node import dispatch
-from godwitstall.node import headers
-from godwitstall.node import membership as membership_module
-from godwitstall.node import relay
-from godwitstall.node import upstream as upstream_module
+from godwitstall.node.peers import relay
+from godwitstall.node.requests import context
+from godwitstall.node.requests import digests
+from godwitstall.node.requests import headers
+from godwitstall.node.sessions import control_session
+from godwitstall.node.sessions import membership as membership_module
+from godwitstall.node.upstreams import announcements
+from godwitstall.node.upstreams import upstream as upstream_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
--- a/godwitstall/node/dialect.py
+++ b/godwitstall/node/dialect.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from godwitstall import errors
-from godwitstall.node import upstream_status
+from godwitstall.node.upstreams import upstream_status
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -19,17 +19,18 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import claims
-from godwitstall.node import context
-from godwitstall.node import crashes
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import exchange
-from godwitstall.node import headers
 from godwitstall.node import planned_stop
-from godwitstall.node import slots
-from godwitstall.node import upstream as upstream_module
-from godwitstall.node import upstream_client
-from godwitstall.node import upstream_status
+from godwitstall.node.requests import context
+from godwitstall.node.requests import headers
+from godwitstall.node.sessions import claims
+from godwitstall.node.sessions import crashes
+from godwitstall.node.upstreams import slots
+from godwitstall.node.upstreams import upstream as upstream_module
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
+from godwitstall.node.upstreams import upstream_status
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
@@ -83,7 +84,7 @@
     # Error kind; NONE for a complete answer.
     kind: errors.ErrorKind
     # Answer of the upstream; None if there is none.
-    answer: upstream_client.UpstreamAnswer | None
+    answer: upstream_answer.UpstreamAnswer | None
     # Human-readable description of the error.
     detail: str
     # Whether the upstream refused the connection, so no process listens.
@@ -390,7 +391,7 @@
         if self.dialect is not None:
             kind, detail = exchange.classify_answer(self.dialect, answer)
             return _DispatchResult(kind, answer, detail)
-        returned_context = upstream_client.find_header(
+        returned_context = upstream_answer.find_header(
             answer.headers, headers.CONTEXT
         )
         if (
@@ -403,7 +404,7 @@
                 None,
                 'The upstream returned the answer to another request.',
             )
-        if upstream_client.is_shed(answer):
+        if upstream_answer.is_shed(answer):
             return _DispatchResult(errors.ErrorKind.UPSTREAM_SHED, answer, '')
         return _DispatchResult(errors.ErrorKind.NONE, answer, '')
 
@@ -503,13 +504,13 @@
     return _DEFAULT_RETRY_AFTER_MS if is_temporary and is_not_run else 0
 
 
-def shed_retry_after_ms(answer: upstream_client.UpstreamAnswer) -> int:
+def shed_retry_after_ms(answer: upstream_answer.UpstreamAnswer) -> int:
     """Return the retry time of an answer that shed a request, milliseconds.
 
     Only whole seconds are parsed; a date would depend on the upstream's
     clock.
     """
-    value = upstream_client.find_header(answer.headers, headers.RETRY_AFTER)
+    value = upstream_answer.find_header(answer.headers, headers.RETRY_AFTER)
     if (
         value is None
         or not value.isdigit()
--- a/godwitstall/node/exchange.py
+++ b/godwitstall/node/exchange.py
@@ -5,18 +5,18 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall.node import context
 from godwitstall.node import dialect as dialect_module
-from godwitstall.node import digests
-from godwitstall.node import headers
-from godwitstall.node import upstream_client
+from godwitstall.node.requests import context
+from godwitstall.node.requests import digests
+from godwitstall.node.requests import headers
+from godwitstall.node.upstreams import upstream_answer
 
 _FIRST_ERROR_STATUS = 400
 _MISDIRECTED_REQUEST_STATUS = 421
 
 
 def classify_answer(
-    dialect: dialect_module.Dialect, answer: upstream_client.UpstreamAnswer
+    dialect: dialect_module.Dialect, answer: upstream_answer.UpstreamAnswer
 ) -> tuple[errors.ErrorKind, str]:
     """Return the error kind of a complete answer and a description.
 
@@ -24,7 +24,7 @@
     """
 
     def find(name: bytes) -> bytes | None:
-        return upstream_client.find_header(answer.headers, name)
+        return upstream_answer.find_header(answer.headers, name)
 
     if find(dialect.not_run) is not None or is_misdirected(answer):
         return errors.ErrorKind.UPSTREAM_SHED, ''
@@ -42,7 +42,7 @@
     return errors.ErrorKind.NONE, ''
 
 
-def is_misdirected(answer: upstream_client.UpstreamAnswer) -> bool:
+def is_misdirected(answer: upstream_answer.UpstreamAnswer) -> bool:
     """Return whether the request was meant for another process."""
     return answer.status == _MISDIRECTED_REQUEST_STATUS
 
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -14,10 +14,10 @@
 from godwitstall import logs
 from godwitstall import metrics_endpoint
 from godwitstall.node import base_node
+from godwitstall.node.callers import gateway
 from godwitstall.node import dialect as dialect_module
-from godwitstall.node import gateway
-from godwitstall.node import stewardship
-from godwitstall.node import upstream_client
+from godwitstall.node.peers import stewardship
+from godwitstall.node.upstreams import upstream_answer
 from godwitstall.rates import local_share
 from godwitstall import settings
 
@@ -38,7 +38,7 @@
         fleet: settings.FleetOptions,
         dialect: dialect_module.Dialect,
     ) -> None:
-        framing = upstream_client.Framing(dialect.attempt_id, True)
+        framing = upstream_answer.Framing(dialect.attempt_id, True)
         super().__init__(options, fleet, dialect, framing)
         self.gateway = gateway.Gateway(
             options,
--- /dev/null
+++ b/godwitstall/node/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Requests and tokens that nodes pass to each other."""
--- a/godwitstall/node/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -20,7 +20,7 @@
 from godwitstall import messages
 from godwitstall import metrics
 from godwitstall.node import dispatch
-from godwitstall.node import forward
+from godwitstall.node.peers import forward
 from godwitstall.routing import picker as picker_module
 from godwitstall import settings
 
--- a/godwitstall/node/stewardship.py
+++ b/godwitstall/node/peers/stewardship.py
@@ -16,7 +16,7 @@
 from godwitstall import errors
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import forward
+from godwitstall.node.peers import forward
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.rates import local_share
 from godwitstall.rates import steward as steward_module
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -20,7 +20,7 @@
 from godwitstall import http_listener
 from godwitstall import logs
 from godwitstall.node import base_node
-from godwitstall.node import entry
+from godwitstall.node.callers import entry
 from godwitstall import settings
 from godwitstall import signals
 
--- /dev/null
+++ b/godwitstall/node/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Headers, digests and contexts of the requests that a node handles."""
--- /dev/null
+++ b/godwitstall/node/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""What a node agrees on with control."""
--- a/godwitstall/node/claims.py
+++ b/godwitstall/node/sessions/claims.py
@@ -13,7 +13,7 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import control_session
+from godwitstall.node.sessions import control_session
 
 _LOG = logs.get('claims')
 _CLAIMS = metrics.counter('claims_total', 'Claims by verdict.')
--- a/godwitstall/node/control_session.py
+++ b/godwitstall/node/sessions/control_session.py
@@ -19,7 +19,7 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import replica_choice
+from godwitstall.node.sessions import replica_choice
 from godwitstall.rates import allowance as allowance_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
--- a/godwitstall/node/crashes.py
+++ b/godwitstall/node/sessions/crashes.py
@@ -12,9 +12,9 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import control_session
-from godwitstall.node import upstream as upstream_module
-from godwitstall.node import upstream_client
+from godwitstall.node.sessions import control_session
+from godwitstall.node.upstreams import upstream as upstream_module
+from godwitstall.node.upstreams import upstream_client
 
 _LOG = logs.get('crashes')
 _CRASHES = metrics.counter(
--- a/godwitstall/node/membership.py
+++ b/godwitstall/node/sessions/membership.py
@@ -15,8 +15,8 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import control_session
-from godwitstall.node import upstream as upstream_module
+from godwitstall.node.sessions import control_session
+from godwitstall.node.upstreams import upstream as upstream_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
--- /dev/null
+++ b/godwitstall/node/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""A node's own upstream: its connections, its state and its slots."""
--- a/godwitstall/node/slots.py
+++ b/godwitstall/node/upstreams/slots.py
@@ -17,7 +17,7 @@
 from godwitstall.limits import slot_shares
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import upstream as upstream_module
+from godwitstall.node.upstreams import upstream as upstream_module
 
 _QUEUE_WAIT_SECONDS = metrics.histogram(
     'queue_wait_seconds', 'Time to a slot of the upstream by priority.'
--- a/godwitstall/node/upstream.py
+++ b/godwitstall/node/upstreams/upstream.py
@@ -23,10 +23,11 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.node import announcements
-from godwitstall.node import context
-from godwitstall.node import upstream_client
-from godwitstall.node import upstream_status
+from godwitstall.node.requests import context
+from godwitstall.node.upstreams import announcements
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
+from godwitstall.node.upstreams import upstream_status
 from godwitstall import settings
 
 _LOG = logs.get('upstream')
@@ -70,7 +71,7 @@
         options: settings.NodeOptions,
         contexts: context.Contexts,
         on_change: OnChange,
-        framing: upstream_client.Framing | None = None,
+        framing: upstream_answer.Framing | None = None,
     ) -> None:
         self.framing = framing
         self.options = options
--- a/godwitstall/node/upstream_client.py
+++ b/godwitstall/node/upstreams/upstream_connection.py
@@ -1,8 +1,4 @@
-"""Pooled HTTP/1.1 connections to the node's own upstream.
-
-A connection carries one request at a time. It returns to the pool only after
-a complete answer. It is closed after a timeout, a cancellation, a parse error
-or unexpected bytes, so that a late answer cannot reach another request.
+"""A connection to the node's own upstream, with one answer at a time.
 
 If upstreams return the id of the request, the id decides to which request an
 answer belongs. An answer without an id is accepted only as the first one on
@@ -17,12 +13,11 @@
 that arrive while the connection is idle.
 
 Example:
-    client = UpstreamClient('127.0.0.1', 9000, 330, 1024 * 1024)
-    answer = await client.send('GET', '/orders/7', block, b'', deadline)
+    connection = UpstreamConnection(1024 * 1024, framing, budget)
+    answer = await connection.start(request, is_head=False)
 """
 
 import asyncio
-import dataclasses
 import enum
 import re
 import typing
@@ -33,11 +28,8 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import metrics
-from godwitstall.node import headers
+from godwitstall.node.upstreams import upstream_answer
 
-_CONNECTIONS_OPENED = metrics.counter(
-    'upstream_connections_total', 'Connections opened to the upstream.'
-)
 _STRAY_BYTES = metrics.counter(
     'upstream_stray_bytes_total',
     'Connections closed because of bytes that no request waited for.',
@@ -64,16 +56,10 @@
 # one byte has five.
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
 
-# Maximum size of all incomplete answers together, bytes. An upstream that
-# sends endless answers on many connections must not exhaust the memory of the
-# node, which the platform limits to 200 MB.
-MAX_BUFFERED_BYTES = 32 * 1024 * 1024
-
 # Fraction of the upstream's Keep-Alive timeout that is used. The rest allows
 # for network latency and late timers.
 _USED_IDLE_SHARE = 0.8
 
-_CONNECT_TIMEOUT_S = 1.0
 _FIRST_FINAL_STATUS = 200
 _FIRST_ERROR_STATUS = 400
 _BODILESS_STATUSES = (204, 304)
@@ -85,32 +71,6 @@
 _KEEP_ALIVE_TIMEOUT = re.compile(rb'timeout=(\d{1,6})')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Framing:
-    """How the upstreams frame and identify their answers."""
-
-    # Header in which all answers return the id of the request; empty if there
-    # is none.
-    request_id_header: bytes = b''
-    # Whether an answer without a length is complete when its connection is
-    # closed cleanly.
-    allows_close_delimited: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class UpstreamAnswer:
-    """A complete answer."""
-
-    # HTTP status.
-    status: int
-    # Headers with lower-case names.
-    headers: list[tuple[bytes, bytes]]
-    # Complete body.
-    body: bytes
-    # Time at which the headers were complete, seconds of clock.recent().
-    headers_at: float = 0.0
-
-
 class _Recipient(enum.Enum):
     """The request to which an answer belongs."""
 
@@ -119,13 +79,13 @@
     UNKNOWN = 2
 
 
-class _Connection(asyncio.Protocol):
+class UpstreamConnection(asyncio.Protocol):
     """One connection, which parses the answer to its current request."""
 
     def __init__(
         self,
         max_answer_bytes: int,
-        framing: Framing,
+        framing: upstream_answer.Framing,
         budget: byte_budget.ByteBudget,
     ) -> None:
         self.max_answer_bytes = max_answer_bytes
@@ -146,7 +106,9 @@
         self.moved_at = 0.0
         # Whether the connection can carry another request.
         self.is_reusable = True
-        self.waiter: asyncio.Future[UpstreamAnswer] | None = None
+        self.waiter: asyncio.Future[upstream_answer.UpstreamAnswer] | None = (
+            None
+        )
         self.has_answer_bytes = False
         self.is_head = False
         self.status = 0
@@ -239,8 +201,14 @@
             and self.has_all_headers
             and self.status >= _FIRST_FINAL_STATUS
             and self.status not in _BODILESS_STATUSES
-            and find_header(self.answer_headers, b'content-length') is None
-            and find_header(self.answer_headers, b'transfer-encoding') is None
+            and upstream_answer.find_header(
+                self.answer_headers, b'content-length'
+            )
+            is None
+            and upstream_answer.find_header(
+                self.answer_headers, b'transfer-encoding'
+            )
+            is None
         )
 
     def fail(self, kind: errors.ErrorKind, detail: str = '') -> None:
@@ -267,7 +235,7 @@
 
     def start(
         self, request: bytes, is_head: bool, request_id: bytes = b''
-    ) -> asyncio.Future[UpstreamAnswer]:
+    ) -> asyncio.Future[upstream_answer.UpstreamAnswer]:
         """Send a request and return a future for its answer."""
         assert self.transport is not None
         self.request_id = request_id if self.framing.request_id_header else b''
@@ -356,7 +324,9 @@
         """Return the body length from Content-Length, 0 if there is none."""
         if self.is_head or self.status in _BODILESS_STATUSES:
             return 0
-        length = find_header(self.answer_headers, b'content-length')
+        length = upstream_answer.find_header(
+            self.answer_headers, b'content-length'
+        )
         return int(length) if length and length.isdigit() else 0
 
     def on_message_complete(self) -> None:
@@ -369,7 +339,7 @@
     def _returned_id(self) -> bytes:
         """Return the request id in the answer, empty if there is none."""
         header = self.framing.request_id_header
-        return find_header(self.answer_headers, header) or b''
+        return upstream_answer.find_header(self.answer_headers, header) or b''
 
     def _recipient(self) -> _Recipient:
         """Return to which request the answer belongs."""
@@ -416,7 +386,9 @@
     def _return_answer(self) -> None:
         if not self._allows_reuse():
             self.is_reusable = False
-        keep_alive = find_header(self.answer_headers, b'keep-alive')
+        keep_alive = upstream_answer.find_header(
+            self.answer_headers, b'keep-alive'
+        )
         timeout_match = (
             _KEEP_ALIVE_TIMEOUT.search(keep_alive) if keep_alive else None
         )
@@ -424,7 +396,7 @@
             self.idle_limit_s = int(timeout_match[1]) * _USED_IDLE_SHARE
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(
-                UpstreamAnswer(
+                upstream_answer.UpstreamAnswer(
                     self.status,
                     self.answer_headers,
                     bytes(self.body),
@@ -452,163 +424,3 @@
         """Abort the answer, so that others can be received."""
         self.abort_oversized()
         self.clear_answer()
-
-
-class UpstreamClient:
-    """Pool of connections to one upstream process."""
-
-    def __init__(
-        self,
-        host: str,
-        port: int,
-        max_connections: int,
-        max_answer_bytes: int,
-        framing: Framing | None = None,
-    ) -> None:
-        self.framing = framing or Framing()
-        self.host = host
-        self.port = port
-        # Maximum number of connections that run a request or are being opened
-        # for one; idle connections do not count.
-        self.max_connections = max_connections
-        # Maximum size of the body of an answer, bytes.
-        self.max_answer_bytes = max_answer_bytes
-        # Idle connections, with the most recently used one last.
-        self.idle: list[_Connection] = []
-        # Connections that are running a request.
-        self.busy: set[_Connection] = set()
-        self.budget = byte_budget.ByteBudget(
-            'answers', MAX_BUFFERED_BYTES, self.busy
-        )
-        # Number of connections that are being opened for a request.
-        self.opening_count = 0
-
-    async def send(
-        self,
-        method: str,
-        path: str,
-        header_block: bytes,
-        body: bytes,
-        deadline: float,
-        host: bytes = b'',
-        request_id: bytes = b'',
-    ) -> UpstreamAnswer:
-        """Send one request and return its complete answer.
-
-        host is the Host header, by default the address. request_id is the id
-        that the answer returns, empty if the request has none. deadline is in
-        seconds of clock.recent(). Errors: RequestError of kind OVERLOADED or
-        UPSTREAM_UNREACHABLE if nothing was sent; UPSTREAM_LOST, ANSWER_CUT,
-        ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT after that. A cancellation closes
-        the connection, which notifies the upstream.
-        """
-        connection = await self._acquire(deadline)
-        request = b'%s %s HTTP/1.1\r\nhost: %s\r\n%s' % (
-            method.encode(),
-            path.encode('latin-1'),
-            host or b'%s:%d' % (self.host.encode(), self.port),
-            header_block,
-        )
-        request += b'content-length: %d\r\n\r\n' % len(body) + body
-        self.busy.add(connection)
-        is_complete = False
-        try:
-            future = connection.start(request, method == 'HEAD', request_id)
-            timer = asyncio.get_running_loop().call_later(
-                max(0.0, deadline - clock.recent()),
-                connection.fail,
-                errors.ErrorKind.UPSTREAM_TIMEOUT,
-            )
-            try:
-                answer = await future
-            finally:
-                timer.cancel()
-            is_complete = True
-            return answer
-        finally:
-            self.busy.discard(connection)
-            connection.clear_answer()
-            if is_complete and connection.is_reusable:
-                self._release(connection)
-            else:
-                connection.close()
-
-    async def _acquire(self, deadline: float) -> _Connection:
-        now = clock.recent()
-        while self.idle:
-            connection = self.idle.pop()
-            idle_s = now - connection.idle_since
-            is_reusable = idle_s < connection.idle_limit_s
-            if is_reusable and connection.is_open():
-                return connection
-            connection.close()
-        if len(self.busy) + self.opening_count >= self.max_connections:
-            raise errors.RequestError(
-                errors.ErrorKind.OVERLOADED, 'All connections are in use.'
-            )
-        self.opening_count += 1
-        try:
-            return await self._open(min(_CONNECT_TIMEOUT_S, deadline - now))
-        finally:
-            self.opening_count -= 1
-
-    def make_connection(self) -> _Connection:
-        """Return the protocol of a new connection."""
-        return _Connection(self.max_answer_bytes, self.framing, self.budget)
-
-    async def _open(self, timeout_s: float) -> _Connection:
-        _CONNECTIONS_OPENED.inc()
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    self.make_connection, self.host, self.port
-                )
-        except (OSError, TimeoutError) as e:
-            raise errors.RequestError(
-                errors.ErrorKind.UPSTREAM_UNREACHABLE,
-                f'No connection to the upstream: {e}.',
-            ) from e
-        return connection
-
-    def _release(self, connection: _Connection) -> None:
-        if connection.is_closed:
-            return
-        connection.idle_since = clock.recent()
-        connection.waiter = None
-        self.idle.append(connection)
-
-    async def is_refused(self, timeout_s: float) -> bool:
-        """Return whether connections are refused, so no process listens.
-
-        A timeout does not count, because it may also be caused by the full
-        accept queue of a busy process.
-        """
-        try:
-            connection = await self._open(timeout_s)
-        except errors.RequestError as e:
-            return isinstance(e.__cause__, ConnectionRefusedError)
-        connection.close()
-        return False
-
-    def close(self) -> None:
-        """Close the idle connections; running requests continue."""
-        for connection in self.idle:
-            connection.close()
-        self.idle.clear()
-
-
-def find_header(pairs: list[tuple[bytes, bytes]], name: bytes) -> bytes | None:
-    """Return the first value of a header with a lower-case name, or None."""
-    for key, value in pairs:
-        if key == name:
-            return value
-    return None
-
-
-def is_shed(answer: UpstreamAnswer) -> bool:
-    """Return whether the upstream refused the request without running it."""
-    return (
-        answer.status in (503, 504)
-        and find_header(answer.headers, headers.OUTCOME) == b'not-run'
-    )
--- a/godwitstall/node/upstream_status.py
+++ b/godwitstall/node/upstreams/upstream_status.py
@@ -11,8 +11,8 @@
 import math
 import re
 
-from godwitstall.node import headers
-from godwitstall.node import upstream_client
+from godwitstall.node.requests import headers
+from godwitstall.node.upstreams import upstream_answer
 
 # A decimal number; float() also accepts 'nan', 'inf', signs and '1_0'.
 _DECIMAL = re.compile(rb'(\d{1,12}\.?\d{0,24}|\.\d{1,24})(e-\d{1,2})?')
@@ -45,11 +45,11 @@
 
 
 def parse(
-    names: Names, answer: upstream_client.UpstreamAnswer
+    names: Names, answer: upstream_answer.UpstreamAnswer
 ) -> UpstreamStatus:
     """Return the status in the headers of a complete answer."""
-    limit_text = upstream_client.find_header(answer.headers, names.rate_limit)
-    leaving_text = upstream_client.find_header(answer.headers, names.leaving)
+    limit_text = upstream_answer.find_header(answer.headers, names.rate_limit)
+    leaving_text = upstream_answer.find_header(answer.headers, names.leaving)
     rate_limit = math.inf
     if limit_text is not None and _DECIMAL.fullmatch(limit_text.strip()):
         rate_limit = float(limit_text)
--- a/tests/control/test_members_over_nodes.py
+++ b/tests/control/test_members_over_nodes.py
@@ -10,7 +10,7 @@
 from godwitstall import clock
 from godwitstall.control import service as service_module
 from godwitstall import messages
-from godwitstall.node import membership
+from godwitstall.node.sessions import membership
 from loadtool import http_client
 from tests.control import harness
 from tests import fakes
--- a/tests/docs/test_pages.py
+++ b/tests/docs/test_pages.py
@@ -14,8 +14,8 @@
 from godwitstall.configuration import note as notes
 from godwitstall.ctl import program as ctl_program
 from godwitstall import messages
-from godwitstall.node import announcements
-from godwitstall.node import headers
+from godwitstall.node.requests import headers
+from godwitstall.node.upstreams import announcements
 from godwitstall import settings
 
 _ROOT = pages.PAGE.parent.parent
--- a/tests/gateways.py
+++ b/tests/gateways.py
@@ -3,7 +3,7 @@
 from godwitstall import messages
 from godwitstall.node import dialect
 from godwitstall.node import gateway_node
-from godwitstall.node import upstream_status
+from godwitstall.node.upstreams import upstream_status
 from godwitstall import settings
 
 # Header names of a fictitious mesh.
--- a/tests/limits/test_retry_parts.py
+++ b/tests/limits/test_retry_parts.py
@@ -11,7 +11,7 @@
 from godwitstall import errors
 from godwitstall.limits import retry_budget
 from godwitstall import messages
-from godwitstall.node import relay
+from godwitstall.node.peers import relay
 from godwitstall.routing import picker
 from godwitstall.routing import view
 
--- a/tests/listener/test_request_limits.py
+++ b/tests/listener/test_request_limits.py
@@ -13,8 +13,8 @@
 from godwitstall import http_listener
 from godwitstall import http_messages
 from godwitstall import link
+from godwitstall.node.callers import entry
 from godwitstall.node import dispatch
-from godwitstall.node import entry
 from loadtool import addresses
 
 _MAX_HEADER_BYTES = 4096
--- a/tests/node/test_bytes_behind_a_body.py
+++ b/tests/node/test_bytes_behind_a_body.py
@@ -11,14 +11,15 @@
 import pytest
 
 from godwitstall import errors
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import upstream_client
+from godwitstall.node.upstreams import upstream_connection
 
 _MAX_ANSWER_BYTES = 1024 * 1024
 _BODY_BYTES = _MAX_ANSWER_BYTES // 2
 _PIECE_BYTES = 16 * 1024
 
 # Bytes behind a body that an answer may have before it is cut.
-_BOUND_BYTES = 2 * upstream_client.MAX_HEADER_BYTES + _PIECE_BYTES
+_BOUND_BYTES = 2 * upstream_connection.MAX_HEADER_BYTES + _PIECE_BYTES
 
 _BODY = (
     b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
--- a/tests/node/test_context.py
+++ b/tests/node/test_context.py
@@ -3,7 +3,7 @@
 import pytest
 
 from godwitstall import messages
-from godwitstall.node import context
+from godwitstall.node.requests import context
 
 # Onward calls (start, end), and the expected own time at 10 s, all in seconds.
 _OWN_TIME_CASES: list[tuple[list[tuple[float, float]], float]] = [
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -6,7 +6,7 @@
 import pytest
 
 from godwitstall import messages
-from godwitstall.node import crashes
+from godwitstall.node.sessions import crashes
 from loadtool import http_client
 from tests import fakes
 
--- a/tests/node/test_cut_answers_at_gateways.py
+++ b/tests/node/test_cut_answers_at_gateways.py
@@ -19,8 +19,8 @@
 from godwitstall import clock
 from godwitstall import link as link_module
 from godwitstall import messages
-from godwitstall.node import announcements
 from godwitstall.node import gateway_node
+from godwitstall.node.upstreams import announcements
 from godwitstall import settings
 from loadtool import addresses
 from tests import gateways
--- a/tests/node/test_cut_heads.py
+++ b/tests/node/test_cut_heads.py
@@ -21,9 +21,10 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import event_loop
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
 
-_FRAMING = upstream_client.Framing(b'attempt-id', True)
+_FRAMING = upstream_answer.Framing(b'attempt-id', True)
 _MAX_ANSWER_BYTES = 4096
 _WAIT_S = 10.0
 _RESET = struct.pack('ii', 1, 0)
@@ -280,7 +281,7 @@
 class _Upstream:
     """An upstream in memory and its client."""
 
-    def __init__(self, framing: upstream_client.Framing = _FRAMING) -> None:
+    def __init__(self, framing: upstream_answer.Framing = _FRAMING) -> None:
         self.client = upstream_client.UpstreamClient(
             '127.0.0.1', 1, 4, _MAX_ANSWER_BYTES, framing
         )
@@ -304,7 +305,7 @@
         method: str,
         reads: collections.abc.Iterable[bytes],
         closing: _Closing | None,
-    ) -> upstream_client.UpstreamAnswer:
+    ) -> upstream_answer.UpstreamAnswer:
         """Send a request that is answered by these reads."""
         task = asyncio.create_task(_send(self.client, method))
         await asyncio.sleep(0)
@@ -318,13 +319,13 @@
 
 async def _send(
     client: upstream_client.UpstreamClient, method: str = 'GET'
-) -> upstream_client.UpstreamAnswer:
+) -> upstream_answer.UpstreamAnswer:
     deadline = clock.now() + _WAIT_S
     return await client.send(method, '/', b'', b'', deadline, b'a', b'own')
 
 
 async def _check_cut(
-    answer: collections.abc.Awaitable[upstream_client.UpstreamAnswer],
+    answer: collections.abc.Awaitable[upstream_answer.UpstreamAnswer],
     shape: _Shape,
     cut: int,
     closing: _Closing,
@@ -437,7 +438,7 @@
     async def scenario() -> None:
         shape = dataclasses.replace(_WITHOUT_LENGTH, end=_BodyEnd.NONE)
         for cut in range(len(shape.data) + 1):
-            upstream = _Upstream(upstream_client.Framing(b'attempt-id'))
+            upstream = _Upstream(upstream_answer.Framing(b'attempt-id'))
             await _check_cut(
                 upstream.send('GET', [shape.data[:cut]], _Closing.CLEAN),
                 shape,
--- a/tests/node/test_cut_requests.py
+++ b/tests/node/test_cut_requests.py
@@ -11,7 +11,7 @@
 from godwitstall import decisions
 from godwitstall import http_connection
 from godwitstall import http_messages
-from godwitstall.node import gateway
+from godwitstall.node.callers import gateway
 from tests import gateways
 
 
--- a/tests/node/test_departed_upstream.py
+++ b/tests/node/test_departed_upstream.py
@@ -3,8 +3,8 @@
 import typing
 
 from godwitstall import messages
-from godwitstall.node import announcements
-from godwitstall.node import membership
+from godwitstall.node.sessions import membership
+from godwitstall.node.upstreams import announcements
 from tests import gateways
 
 _READY = messages.UpstreamState.READY
--- a/tests/node/test_endless_answers.py
+++ b/tests/node/test_endless_answers.py
@@ -14,9 +14,10 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
 
-_FRAMING = upstream_client.Framing(b'attempt-id', True)
+_FRAMING = upstream_answer.Framing(b'attempt-id', True)
 _MAX_ANSWER_BYTES = 256 * 1024
 _PIECE = b'x' * 16 * 1024
 _DEADLINE_S = 20.0
--- a/tests/node/test_framing.py
+++ b/tests/node/test_framing.py
@@ -10,9 +10,10 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
 
-_FRAMING = upstream_client.Framing(b'attempt-id', True)
+_FRAMING = upstream_answer.Framing(b'attempt-id', True)
 _WAIT_S = 10.0
 
 _Respond = collections.abc.Callable[
@@ -49,7 +50,7 @@
 
 async def _send(
     client: upstream_client.UpstreamClient, request_id: bytes
-) -> upstream_client.UpstreamAnswer:
+) -> upstream_answer.UpstreamAnswer:
     return await client.send(
         'GET', '/', b'', b'', clock.now() + _WAIT_S, b'a', request_id
     )
--- a/tests/node/test_isolation.py
+++ b/tests/node/test_isolation.py
@@ -11,7 +11,7 @@
 
 from godwitstall import clock
 from godwitstall import link as link_module
-from godwitstall.node import control_session
+from godwitstall.node.sessions import control_session
 from tests import fakes
 
 _ROUTES: list[dict[str, typing.Any]] = [
--- a/tests/node/test_leaving_in_answers.py
+++ b/tests/node/test_leaving_in_answers.py
@@ -10,7 +10,7 @@
 import pytest
 
 from godwitstall import clock
-from godwitstall.node import upstream_status
+from godwitstall.node.upstreams import upstream_status
 from tests import simulated_fleet
 
 _LEAVING = [(b'x-leaving', b'1')]
--- a/tests/node/test_links_at_the_end_of_a_stop.py
+++ b/tests/node/test_links_at_the_end_of_a_stop.py
@@ -8,8 +8,8 @@
 from godwitstall import errors
 from godwitstall import link as links
 from godwitstall import messages
-from godwitstall.node import forward
-from godwitstall.node import peer_server
+from godwitstall.node.peers import forward
+from godwitstall.node.peers import peer_server
 from loadtool import addresses
 
 _TIMEOUT_S = 10.0
--- a/tests/node/test_operations.py
+++ b/tests/node/test_operations.py
@@ -14,7 +14,7 @@
 
 from godwitstall import clock
 from godwitstall import messages
-from godwitstall.node import control_session
+from godwitstall.node.sessions import control_session
 from loadtool import http_client
 from tests import fakes
 
--- a/tests/node/test_relay.py
+++ b/tests/node/test_relay.py
@@ -9,7 +9,7 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall.node import relay as relay_module
+from godwitstall.node.peers import relay as relay_module
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from tests import gateways
--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -19,12 +19,13 @@
 from godwitstall import errors
 from godwitstall import http_messages
 from godwitstall import messages
-from godwitstall.node import announcements
 from godwitstall.node import gateway_node
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import announcements
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_client
 from tests import gateways
 
-_FRAMING = upstream_client.Framing(gateways.DIALECT.attempt_id, True)
+_FRAMING = upstream_answer.Framing(gateways.DIALECT.attempt_id, True)
 _WAIT_S = 10.0
 _PAUSE_S = 0.01
 
@@ -165,7 +166,7 @@
     client: upstream_client.UpstreamClient,
     request_id: bytes,
     wait_s: float = _WAIT_S,
-) -> upstream_client.UpstreamAnswer:
+) -> upstream_answer.UpstreamAnswer:
     block = b'x-id: %s\r\n' % request_id if request_id else b''
     return await client.send(
         'GET', '/', block, b'', clock.now() + wait_s, b'a', request_id
--- a/tests/node/test_replica_choice.py
+++ b/tests/node/test_replica_choice.py
@@ -7,8 +7,8 @@
 
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall.node import control_session
-from godwitstall.node import replica_choice
+from godwitstall.node.sessions import control_session
+from godwitstall.node.sessions import replica_choice
 from tests import gateways
 
 _SEEDS = ['10.1.0.1:1', '10.2.0.1:1', '10.3.0.1:1']
--- a/tests/node/test_shedding.py
+++ b/tests/node/test_shedding.py
@@ -12,7 +12,7 @@
 import pytest
 
 from godwitstall import messages
-from godwitstall.node import slots
+from godwitstall.node.upstreams import slots
 from loadtool import http_client
 from tests import fakes
 
--- a/tests/node/test_stewardship.py
+++ b/tests/node/test_stewardship.py
@@ -9,8 +9,8 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall.node import forward
-from godwitstall.node import stewardship
+from godwitstall.node.peers import forward
+from godwitstall.node.peers import stewardship
 from godwitstall.rates import allowance as allowances
 from godwitstall.rates import local_share
 from godwitstall.routing import view as views
--- a/tests/node/test_upstream_states.py
+++ b/tests/node/test_upstream_states.py
@@ -8,7 +8,7 @@
 
 from godwitstall import clock
 from godwitstall import messages
-from godwitstall.node import upstream as upstream_module
+from godwitstall.node.upstreams import upstream as upstream_module
 from tests import fakes
 
 _NOTE = fakes.note(
--- a/tests/node/test_upstream_status.py
+++ b/tests/node/test_upstream_status.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from godwitstall.node import upstream_client
-from godwitstall.node import upstream_status
+from godwitstall.node.upstreams import upstream_answer
+from godwitstall.node.upstreams import upstream_status
 from tests import fakes
 
 _NOTE = fakes.note(
@@ -45,7 +45,7 @@
     headers: dict[str, str], expected: upstream_status.UpstreamStatus
 ) -> None:
     """Guards against a status that is read where there is none."""
-    answer = upstream_client.UpstreamAnswer(
+    answer = upstream_answer.UpstreamAnswer(
         200,
         [(name.encode(), value.encode()) for name, value in headers.items()],
         b'',
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -24,9 +24,9 @@
 from godwitstall import errors
 from godwitstall import http_messages
 from godwitstall import messages
-from godwitstall.node import announcements
 from godwitstall.node import gateway_node
-from godwitstall.node import upstream_client
+from godwitstall.node.upstreams import announcements
+from godwitstall.node.upstreams import upstream_answer
 from godwitstall import settings
 from tests import gateways
 
@@ -130,7 +130,7 @@
         deadline: float,
         host: bytes = b'',
         request_id: bytes = b'',
-    ) -> upstream_client.UpstreamAnswer:
+    ) -> upstream_answer.UpstreamAnswer:
         entry, sent_at = self.fleet.sent[int(request_id)]
         self.arrivals.append(Arrival(clock.recent(), entry, sent_at))
         await asyncio.sleep(self.fleet.work_s)
@@ -140,7 +140,7 @@
             (_SERVED_BY, self.instance_id.encode()),
             *self.headers,
         ]
-        return upstream_client.UpstreamAnswer(
+        return upstream_answer.UpstreamAnswer(
             200, headers, b'done', clock.recent()
         )
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,8 +18,8 @@
 from godwitstall import http_listener
 from godwitstall import http_messages
 from godwitstall import messages
-from godwitstall.node import announcements
 from godwitstall.node import gateway_node
+from godwitstall.node.upstreams import announcements
 from godwitstall import settings
 from loadtool import addresses
 from tests import gateways
