--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -34,7 +34,7 @@
 _COUNT_FRACTION = 1 / 64
 
 # Holders with less than this fraction of the limit are left alone.
-_SMALL_FRACTION = 1 / 2048
+_SMALL_FRACTION = 1 / 16384
 
 # Time without progress that counts for a holder that has just moved, seconds.
 # A holder that moves must hold more than one that stands still.
@@ -96,29 +96,34 @@
 
     def _release(self, held: int) -> int:
         """Release bytes down to the limit, and return what is still held."""
+        before = held
+        releases = 0
+        for holder in self._candidates():
+            released = holder.held_bytes()
+            holder.release_bytes()
+            released -= holder.held_bytes()
+            if released:
+                releases += 1
+                held -= released
+            if held <= self.limit_bytes:
+                break
+        _RELEASES.inc(releases, budget=self.name)
+        _LOG.warning(
+            'All %s held %d bytes, the limit is %d; %d peers gave up %d.',
+            self.name,
+            before,
+            self.limit_bytes,
+            releases,
+            before - held,
+        )
+        return held
+
+    def _candidates(self) -> list[Holder]:
+        """Return the holders that are not small, in the order of release."""
         now = clock.recent()
         smallest = self.limit_bytes * _SMALL_FRACTION
-        candidates = sorted(
+        return sorted(
             (h for h in self.holders if h.held_bytes() >= smallest),
             key=lambda h: h.held_bytes() * (_MIN_IDLE_S + now - h.moved_at),
             reverse=True,
         )
-        for holder in candidates:
-            before = holder.held_bytes()
-            holder.release_bytes()
-            released = before - holder.held_bytes()
-            if not released:
-                continue
-            held -= released
-            _RELEASES.inc(budget=self.name)
-            _LOG.warning(
-                'Released %d bytes of a peer that had not moved for %.1f s; '
-                'the limit for all %s is %d.',
-                released,
-                now - holder.moved_at,
-                self.name,
-                self.limit_bytes,
-            )
-            if held <= self.limit_bytes:
-                break
-        return held
