--- a/godwitstall/consensus/discovery.py
+++ b/godwitstall/consensus/discovery.py
@@ -221,8 +221,8 @@
             if peer.link is not None or peer.slot in (
                 self.state.voters.current
             ):
-                peer.linked_at = now
-            elif now - peer.linked_at > _LEARNER_EXPIRY_S:
+                continue
+            if now - peer.linked_at > _LEARNER_EXPIRY_S:
                 _LOG.info('Removed unreachable replica %s.', peer.slot)
                 self.initial_slots.discard(peer.slot)
                 self.zones.pop(peer.slot, None)
--- a/godwitstall/consensus/peer.py
+++ b/godwitstall/consensus/peer.py
@@ -15,7 +15,8 @@
         self.address = address
         # Task that keeps the link; None before the replica starts.
         self.task: asyncio.Task[None] | None = None
-        # Time at which a link was last known to be open, seconds.
+        # Time at which the last link ended or, before the first one, at which
+        # the peer became known, seconds.
         self.linked_at = clock.now()
         # Open link, None while disconnected.
         self.link: links.Link | None = None
--- a/godwitstall/consensus/replicator.py
+++ b/godwitstall/consensus/replicator.py
@@ -84,6 +84,7 @@
             _LOG.debug('Replica %s rejected a request: %s', peer.slot, e)
         finally:
             peer.link = None
+            peer.linked_at = clock.now()
             peer.is_caught_up = False
             link.close()
             reader.cancel()
--- a/godwitstall/consensus/voter_changes.py
+++ b/godwitstall/consensus/voter_changes.py
@@ -15,7 +15,8 @@
 # of two.
 _MAX_DISCOVERED_VOTERS = 5
 
-# Time without a reply after which a spare replaces a voter, seconds.
+# Time without a link, or as leader without a reply, after which a spare
+# replaces a voter, seconds.
 _VOTER_TIMEOUT_S = 2.0
 
 
@@ -86,7 +87,7 @@
         current = self.state.voters.current
         replaced = current.get(peer.slot)
         if replaced is None and len(current) >= self._max_voters:
-            replaced = self._unresponsive_voter()
+            replaced = self.unresponsive_voter()
             if replaced is None:
                 return None
         if replaced is not None:
@@ -100,17 +101,25 @@
         """Maximum number of voters; further replicas are spares."""
         return len(self.state.fleet.control) or _MAX_DISCOVERED_VOTERS
 
-    def _unresponsive_voter(self) -> messages.Voter | None:
-        """Return a voter without a reply for _VOTER_TIMEOUT_S, None if none.
-
-        Also returns None until this replica has led for that time.
-        """
-        if clock.now() - self.state.leader_since < _VOTER_TIMEOUT_S:
-            return None
+    def unresponsive_voter(self) -> messages.Voter | None:
+        """Return a voter that has been out of reach, None if there is none."""
         for voter in self.state.voters.current.values():
-            peer = self.state.peers.get(voter.slot)
-            if voter.slot == self.state.slot:
-                continue
-            if peer is None or clock.now() - peer.acked_at > _VOTER_TIMEOUT_S:
+            if voter.slot != self.state.slot and self._is_out_of_reach(voter):
                 return voter
         return None
+
+    def _is_out_of_reach(self, voter: messages.Voter) -> bool:
+        """Return whether a voter has been out of reach for _VOTER_TIMEOUT_S.
+
+        Each replica has links to all others, so a new leader knows which of
+        them had been gone before its term. Otherwise each election would
+        extend the time in which the fleet tolerates one loss less.
+        """
+        now = clock.now()
+        last_contact = self.state.leader_since
+        peer = self.state.peers.get(voter.slot)
+        if peer is not None:
+            last_contact = max(last_contact, peer.acked_at)
+            if peer.link is None:
+                last_contact = min(last_contact, peer.linked_at)
+        return now - last_contact > _VOTER_TIMEOUT_S
