--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -6,7 +6,7 @@
 holders that hold most and have moved least give up their bytes.
 
 Example:
-    budget = ByteBudget('requests', 96 * 1024 * 1024, connections)
+    budget = ByteBudget('requests', 64 * 1024 * 1024, connections)
     budget.add(len(data))
 """
 
--- a/godwitstall/http_connection.py
+++ b/godwitstall/http_connection.py
@@ -271,9 +271,10 @@
             return
         response = self.listener.respond_to_error(kind)
         _BAD_REQUESTS.inc(status=str(response.status))
-        self.parser.is_stopped = True
         exchange = _Exchange(response=response, is_head=self.parser.is_head())
         self.exchanges.append(exchange)
+        self.parser.discard()
+        self.unparsed.clear()
         self._flush()
 
     def on_expect_continue(self) -> None:
@@ -411,9 +412,8 @@
 
     def _linger(self) -> None:
         """Send the end of the stream; ignore what still arrives."""
-        self.parser.is_stopped = True
         self.is_lingering = True
-        self.parser.request_started_at = 0.0
+        self.parser.discard()
         self.unparsed.clear()
         # The client may have reset the connection.
         with contextlib.suppress(OSError):
@@ -516,7 +516,5 @@
         """Reject a half-read request, or abort responses that are not read."""
         if self.parser.request_started_at and not self.parser.is_stopped:
             self.reject(errors.ErrorKind.MEMORY_FULL)
-            self.parser.discard()
-            self.unparsed.clear()
         elif self.is_write_paused:
             self._abort()
--- a/tests/listener/test_byte_budget.py
+++ b/tests/listener/test_byte_budget.py
@@ -104,3 +104,41 @@
                 client.close()
 
     asyncio.run(scenario())
+
+
+def test_rejected_request_is_not_held_while_others_run() -> None:
+    """Guards against bytes that are kept, or counted, for no request."""
+    body = b'%x\r\n' % _BODY_BYTES + b'x' * _BODY_BYTES + b'\r\n'
+
+    async def scenario() -> None:
+        is_released = asyncio.Event()
+
+        async def serve(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            await is_released.wait()
+            return http_messages.Response(200)
+
+        async with connections.listening(serve) as (listener, address):
+            listener.limits.max_header_bytes = 1024
+            reader, writer = await connections.connect(address)
+            writer.write(
+                _GET + b'POST /a HTTP/1.1\r\nhost: a\r\n'
+                b'transfer-encoding: chunked\r\n\r\n' + body
+            )
+            async with asyncio.timeout(_TIMEOUT_S):
+                await connections.until(
+                    lambda: listener.budget.held_bytes() >= _BODY_BYTES
+                )
+                writer.write(b'0\r\nx-a: ' + b'x' * 2048)
+                await connections.until(
+                    lambda: listener.budget.held_bytes() < 1024
+                )
+            (connection,) = listener.connections
+            assert not connection.parser.body
+            is_released.set()
+            assert await _read_status(reader) == b'200'
+            assert await _read_status(reader) == b'431'
+            writer.close()
+
+    asyncio.run(scenario())
