--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -36,8 +36,8 @@
 # Holders with less than this fraction of the limit are left alone.
 _SMALL_FRACTION = 1 / 16384
 
-# Time without progress that counts for a holder that has just moved, seconds.
-# A holder that moves must hold more than one that stands still.
+# Idle time that counts for a holder that has just moved, seconds.
+# A holder that moves must hold more than a stalled one.
 _MIN_IDLE_S = 0.1
 
 
