Split the messages into a module for each duty

Change: the package schema has a module for each duty; messages names all of them, so that no importer changes but for three index expressions that mypy does not take on an alias of an enum. No message, schema or stored record changes.

--- a/godwitstall/configuration/note.py
+++ b/godwitstall/configuration/note.py
@@ -131,7 +131,7 @@
         raise ValueError(
             f'must be one of {", ".join(names)}, not {_short_repr.repr(value)}'
         )
-    return messages.Priority[value.upper()]
+    return messages.Priority.__members__[value.upper()]
 
 
 class _FieldSchema(typing.NamedTuple):
--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -1,7 +1,7 @@
 @0xbf5147cbbecf40c1;
 
 # Schema of the messages and stored records that use Cap'n Proto. The data
-# classes in messages.py have the same fields in snake_case, which a test
+# classes in messages have the same fields in snake_case, which a test
 # checks.
 
 struct Hello { role @0 :UInt8; senderId @1 :Text; nonce @2 :Data; }
--- a/godwitstall/node/callers/entry.py
+++ b/godwitstall/node/callers/entry.py
@@ -341,7 +341,7 @@
     if not requested_name:
         return priority
     try:
-        requested = messages.Priority[requested_name.upper()]
+        requested = messages.Priority.__members__[requested_name.upper()]
     except KeyError as e:
         names = ', '.join(p.name.lower() for p in messages.Priority)
         raise errors.RequestError(
--- /dev/null
+++ b/godwitstall/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and stored records, a module for each duty; see messages.py."""
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -116,7 +116,7 @@
         messages.NodeId(name),
         service=_SERVICE,
         zone=zone,
-        state=messages.UpstreamState[state],
+        state=messages.UpstreamState.__members__[state],
         is_drained=is_drained,
         slots=10,
     )
