Split the owner side of a node: admission, dispatch, answers

Cause: Owner of dispatch.py had 520 lines: it admitted a call, sent it and built the answer.

Change: dispatcher.Dispatcher sends an admitted call, answers builds the answers to calls that failed, and dispatch.Owner (267 lines) admits. No behaviour changes; two tests reach the crash detector at its new place.

--- a/godwitstall/node/callers/entry.py
+++ b/godwitstall/node/callers/entry.py
@@ -19,8 +19,8 @@
 from godwitstall import http_messages
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import answers
 from godwitstall.node.callers import admission as admission_module
-from godwitstall.node import dispatch
 from godwitstall.node.peers import relay
 from godwitstall.node.requests import context
 from godwitstall.node.requests import digests
@@ -173,7 +173,7 @@
         try:
             answer = await admit(Request.from_http(request))
         except errors.RequestError as e:
-            answer = dispatch.error_answer(e)
+            answer = answers.of_error(e)
         finally:
             self.active -= 1
         return build_response(answer)
@@ -208,7 +208,7 @@
                 # The lease may have expired during the wait.
                 self._check_lease(clock.now())
         except errors.RequestError as e:
-            answer = dispatch.error_answer(e)
+            answer = answers.of_error(e)
         else:
             answer = await self.sender.send(
                 call, route, attempts, deadline, self._is_still_admitted
@@ -221,7 +221,7 @@
     ) -> http_messages.Response:
         """Return the response to a request that is served by no handler."""
         return build_response(
-            dispatch.error_answer(self.admission.planned_stop.error(kind))
+            answers.of_error(self.admission.planned_stop.error(kind))
         )
 
     def _is_still_admitted(self, call: messages.Call) -> bool:
--- a/godwitstall/node/callers/gateway.py
+++ b/godwitstall/node/callers/gateway.py
@@ -19,9 +19,9 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import answers
 from godwitstall.node.callers import admission as admission_module
 from godwitstall.node import dialect as dialect_module
-from godwitstall.node import dispatch
 from godwitstall.node.peers import relay
 from godwitstall.node.requests import context
 from godwitstall.node.requests import digests
@@ -88,7 +88,7 @@
             route_name = route.name
             answer = await self._admit(request, route)
         except errors.RequestError as e:
-            answer = dispatch.error_answer(e)
+            answer = answers.of_error(e)
         except asyncio.CancelledError as e:
             self._log_cut(request, route_name, e)
             raise
@@ -106,7 +106,7 @@
     ) -> http_messages.Response:
         """Return the response to a request that is served by no handler."""
         return self._build_response(
-            dispatch.error_answer(self.admission.planned_stop.error(kind))
+            answers.of_error(self.admission.planned_stop.error(kind))
         )
 
     def _log_request(
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -6,51 +6,35 @@
 """
 
 import asyncio
-import dataclasses
 import random
 import secrets
 import typing
 
 from godwitstall import clock
-from godwitstall import decisions
 from godwitstall import errors
 from godwitstall.limits import chain_throttle
 from godwitstall.limits import fair_queue
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import answers
 from godwitstall.node import dialect as dialect_module
+from godwitstall.node import dispatcher as dispatcher_module
 from godwitstall.node import exchange
 from godwitstall.node import planned_stop
 from godwitstall.node.requests import context
-from godwitstall.node.requests import headers
 from godwitstall.node.sessions import claims
 from godwitstall.node.sessions import crashes
 from godwitstall.node.upstreams import slots
 from godwitstall.node.upstreams import upstream as upstream_module
-from godwitstall.node.upstreams import upstream_answer
-from godwitstall.node.upstreams import upstream_client
-from godwitstall.node.upstreams import upstream_status
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
 _LOG = logs.get('dispatch')
-_DISPATCHES = metrics.counter(
-    'dispatched_total', 'Requests sent to the own upstream.'
-)
-_UPSTREAM_SECONDS = metrics.histogram(
-    'upstream_seconds', 'Time of a dispatch by error kind, onward calls in.'
-)
 _ANSWERS = metrics.counter(
     'owner_answers_total', 'Answers of the owner side by error kind.'
 )
 
-# Refusals of calls that were not run are temporary if they have one of these
-# statuses, and carry a retry time (requirement R12). It is this default unless
-# a better one is known, milliseconds.
-_RETRY_AFTER_STATUSES = frozenset((429, 503, 504))
-_DEFAULT_RETRY_AFTER_MS = 1000
-
 # Mean retry time of a call that the chain throttle rejects, milliseconds. It
 # is jittered by half, so that rejected callers do not retry together.
 _CHAIN_RETRY_AFTER_MS = 1000
@@ -58,38 +42,6 @@
 # Longest time from the token for a call to its dispatch, seconds.
 _MAX_TOKEN_AGE_S = 0.25
 
-# Maximum number of digits in an upstream's Retry-After header. A longer value
-# is ignored.
-_MAX_RETRY_AFTER_DIGITS = 4
-
-# Error kinds that the concurrency limit counts as overload of the upstream.
-_OVERLOAD_KINDS = frozenset(
-    (
-        errors.ErrorKind.UPSTREAM_TIMEOUT,
-        errors.ErrorKind.UPSTREAM_SHED,
-        errors.ErrorKind.UPSTREAM_LOST,
-    )
-)
-
-# Error kinds after which the upstream process may have crashed.
-_POSSIBLE_CRASH_KINDS = frozenset(
-    (errors.ErrorKind.UPSTREAM_LOST, errors.ErrorKind.ANSWER_CUT)
-)
-
-
-@dataclasses.dataclass(slots=True)
-class _DispatchResult:
-    """Result of one dispatch."""
-
-    # Error kind; NONE for a complete answer.
-    kind: errors.ErrorKind
-    # Answer of the upstream; None if there is none.
-    answer: upstream_answer.UpstreamAnswer | None
-    # Human-readable description of the error.
-    detail: str
-    # Whether the upstream refused the connection, so no process listens.
-    is_connection_refused: bool = False
-
 
 class Owner:
     """Admits, queues and dispatches calls for the node's own upstream."""
@@ -104,14 +56,11 @@
         crash_detector: crashes.CrashDetector,
         dialect: dialect_module.Dialect | None = None,
     ) -> None:
-        # Header names that the upstream uses; None means godwitstall-*.
-        self.dialect = dialect
         self.options = options
         self.view = view
         self.upstream = upstream
         self.contexts = contexts
         self.claimer = claimer
-        self.crash_detector = crash_detector
         self.slots = slots.Slots(
             fair_queue.FairQueue(
                 options.max_queue, options.max_queue_wait_ms / 1000
@@ -123,6 +72,14 @@
         self.planned_stop = planned_stop.PlannedStop()
         self.throttle = chain_throttle.ChainThrottle()
         self.random = random.Random()
+        self.dispatcher = dispatcher_module.Dispatcher(
+            upstream,
+            contexts,
+            crash_detector,
+            self.slots,
+            self.throttle,
+            dialect,
+        )
         # Serializes suspect requests, so that a crash can be attributed to
         # one of them.
         self.suspect_lock = asyncio.Lock()
@@ -158,10 +115,10 @@
         try:
             answer = await self._admit(call, deadline)
         except errors.RequestError as e:
-            answer = error_answer(e)
+            answer = answers.of_error(e)
         except Exception:
             _LOG.exception('Unexpected error while handling a call.')
-            answer = error_answer(
+            answer = answers.of_error(
                 errors.RequestError(errors.ErrorKind.INTERNAL)
             )
             answer.attempts_used = call.attempts
@@ -201,7 +158,7 @@
 
     def _check_chain_throttle(self, call: messages.Call) -> None:
         """Reject a new chain that would probably fail in an onward call."""
-        if self._is_subject_to_throttle(call) and not self.throttle.admits(
+        if self.dispatcher.is_throttled(call) and not self.throttle.admits(
             call.route_name, self.random.random(), clock.recent()
         ):
             raise errors.RequestError(
@@ -211,13 +168,6 @@
                 ),
             )
 
-    def _is_subject_to_throttle(self, call: messages.Call) -> bool:
-        return (
-            self.dialect is not None
-            and not call.is_onward
-            and call.priority is not messages.Priority.PAYMENT
-        )
-
     async def _acquire_suspect_lock(self, deadline: float) -> None:
         """Wait for the previous suspect as long as a call may be queued."""
         remaining_s = deadline - clock.recent()
@@ -306,173 +256,7 @@
         # The lease or the upstream may have been lost since _admit(), because
         # the queue and the claim take time.
         self._check_ready()
-        now = clock.recent()
-        if now >= deadline:
-            raise errors.RequestError(errors.ErrorKind.DEADLINE_PASSED)
-        if call.attempts < 1:
-            raise errors.RequestError(errors.ErrorKind.ATTEMPTS_USED)
-        client = self.upstream.client
-        assert client is not None
-        incarnation = self.upstream.incarnation
-        running_request = self.contexts.open(call, deadline, now)
-        _DISPATCHES.inc(service=call.service)
-        self.upstream.on_send(now)
-        try:
-            result = await self._send(client, call, running_request, deadline)
-        finally:
-            self.contexts.close(running_request)
-        ended = clock.recent()
-        self._update_status(result, incarnation)
-        _UPSTREAM_SECONDS.observe(ended - now, kind=result.kind.label)
-        if running_request.onward_time_s and self._is_subject_to_throttle(
-            call
-        ):
-            is_success = (
-                not running_request.has_failed_onward_call
-                and result.kind is (errors.ErrorKind.NONE)
-            )
-            self.throttle.on_end(call.route_name, is_success, ended)
-        self._update_limit(result, running_request, ended)
-        if result.kind is not errors.ErrorKind.NONE:
-            decisions.write(
-                'dispatch',
-                'run_failed',
-                request=call.request_id.decode('latin-1'),
-                service=call.service,
-                instance=self.upstream.instance_id,
-                announced_ago_ms=round(
-                    (ended - self.upstream.announced_at) * 1000
-                ),
-                kind=result.kind.label,
-                detail=result.detail,
-                took_ms=round((ended - now) * 1000),
-                running=self.slots.running,
-                queued=len(self.slots.queue),
-                onward_failed=running_request.has_failed_onward_call,
-            )
-        if result.is_connection_refused:
-            self.upstream.mark_down(incarnation)
-        if result.kind in _POSSIBLE_CRASH_KINDS:
-            self.crash_detector.on_lost_connection(call, incarnation, client)
-        return self._build_answer(call, running_request, result)
-
-    async def _send(
-        self,
-        client: upstream_client.UpstreamClient,
-        call: messages.Call,
-        running_request: context.RequestContext,
-        deadline: float,
-    ) -> _DispatchResult:
-        if self.dialect is None:
-            header_block = exchange.build_headers(
-                call, running_request, deadline
-            )
-        else:
-            header_block = exchange.build_dialect_headers(
-                self.dialect, call, self.upstream.instance_id, deadline
-            )
-        try:
-            answer = await client.send(
-                call.method,
-                call.path,
-                header_block,
-                call.body,
-                deadline,
-                call.host,
-                call.request_id,
-            )
-        except errors.RequestError as e:
-            is_connection_refused = isinstance(
-                e.__cause__, ConnectionRefusedError
-            )
-            return _DispatchResult(
-                e.kind, None, e.detail, is_connection_refused
-            )
-        if self.dialect is not None:
-            kind, detail = exchange.classify_answer(self.dialect, answer)
-            return _DispatchResult(kind, answer, detail)
-        returned_context = upstream_answer.find_header(
-            answer.headers, headers.CONTEXT
-        )
-        if (
-            returned_context is not None
-            and returned_context != running_request.token.encode()
-        ):
-            _LOG.warning('Upstream returned the answer to another request.')
-            return _DispatchResult(
-                errors.ErrorKind.ANSWER_CUT,
-                None,
-                'The upstream returned the answer to another request.',
-            )
-        if upstream_answer.is_shed(answer):
-            return _DispatchResult(errors.ErrorKind.UPSTREAM_SHED, answer, '')
-        return _DispatchResult(errors.ErrorKind.NONE, answer, '')
-
-    def _update_status(
-        self, result: _DispatchResult, incarnation: int
-    ) -> None:
-        """Process what a complete answer says about the upstream."""
-        answer = result.answer
-        if answer is None or result.kind is errors.ErrorKind.ANSWER_CUT:
-            return
-        if exchange.is_misdirected(answer):
-            # Another process answers a misdirected request.
-            return
-        names = upstream_status.DEFAULT_NAMES
-        if self.dialect is not None:
-            names = self.dialect.status_names
-        status = upstream_status.parse(names, answer)
-        self.upstream.on_status(status, incarnation, answer.headers_at)
-
-    def _update_limit(
-        self,
-        result: _DispatchResult,
-        running_request: context.RequestContext,
-        now: float,
-    ) -> None:
-        if result.answer is not None:
-            self.upstream.on_answer(now)
-        self.upstream.limit.on_sample(
-            running_request.own_time_s(now),
-            self.slots.running,
-            # A timeout during an onward call does not indicate overload of
-            # this upstream.
-            result.kind in _OVERLOAD_KINDS
-            and not running_request.onward_calls,
-            now,
-        )
-
-    def _build_answer(
-        self,
-        call: messages.Call,
-        running_request: context.RequestContext,
-        result: _DispatchResult,
-    ) -> messages.Answer:
-        rule = errors.ANSWERS[result.kind]
-        attempts_used = call.attempts - running_request.budget.remaining
-        if rule.outcome is errors.Outcome.NOT_RUN:
-            # The upstream did not run the request, so the dispatch itself
-            # does not count as an attempt.
-            attempts_used -= 1
-        answer = messages.Answer(
-            kind=result.kind,
-            outcome=rule.outcome,
-            status=rule.status,
-            detail=result.detail or rule.text,
-            attempts_used=max(0, attempts_used),
-            is_final=running_request.has_failed_onward_call,
-        )
-        if result.answer is not None:
-            answer.status = result.answer.status
-            answer.headers = headers.to_block(result.answer.headers)
-            answer.body = result.answer.body
-        if result.kind is errors.ErrorKind.UPSTREAM_SHED and (
-            result.answer is not None
-        ):
-            answer.retry_after_ms = shed_retry_after_ms(result.answer)
-        else:
-            answer.retry_after_ms = _default_retry_after_ms(rule)
-        return answer
+        return await self.dispatcher.dispatch(call, deadline)
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the state for the admin listener."""
@@ -481,40 +265,3 @@
             'active': self.active,
             'contexts': len(self.contexts.running),
         }
-
-
-def error_answer(error: errors.RequestError) -> messages.Answer:
-    """Return the answer to a call that failed with an error."""
-    rule = errors.ANSWERS[error.kind]
-    retry_after_ms = error.retry_after_ms
-    if not retry_after_ms:
-        retry_after_ms = _default_retry_after_ms(rule)
-    return messages.Answer(
-        kind=error.kind,
-        outcome=rule.outcome,
-        status=rule.status,
-        detail=error.detail,
-        retry_after_ms=retry_after_ms,
-    )
-
-
-def _default_retry_after_ms(rule: errors.AnswerRule) -> int:
-    is_temporary = rule.status in _RETRY_AFTER_STATUSES
-    is_not_run = rule.outcome is errors.Outcome.NOT_RUN
-    return _DEFAULT_RETRY_AFTER_MS if is_temporary and is_not_run else 0
-
-
-def shed_retry_after_ms(answer: upstream_answer.UpstreamAnswer) -> int:
-    """Return the retry time of an answer that shed a request, milliseconds.
-
-    Only whole seconds are parsed; a date would depend on the upstream's
-    clock.
-    """
-    value = upstream_answer.find_header(answer.headers, headers.RETRY_AFTER)
-    if (
-        value is None
-        or not value.isdigit()
-        or len(value) > _MAX_RETRY_AFTER_DIGITS
-    ):
-        return _DEFAULT_RETRY_AFTER_MS
-    return max(1, int(value)) * 1000
--- a/godwitstall/node/peers/peer_server.py
+++ b/godwitstall/node/peers/peer_server.py
@@ -10,6 +10,7 @@
 from godwitstall import link as link_module
 from godwitstall import logs
 from godwitstall import messages
+from godwitstall.node import answers
 from godwitstall.node import dispatch
 
 _LOG = logs.get('peers')
@@ -70,7 +71,7 @@
             for call in calls.running.values():
                 link.send(_lost_answer(call))
             link.send(
-                dispatch.error_answer(
+                answers.of_error(
                     errors.RequestError(errors.ErrorKind.STOPPING)
                 )
             )
@@ -138,9 +139,7 @@
 
 def _lost_answer(call: messages.Call) -> messages.Answer:
     """Return the answer to a call that ends with its link."""
-    answer = dispatch.error_answer(
-        errors.RequestError(errors.ErrorKind.PEER_LOST)
-    )
+    answer = answers.of_error(errors.RequestError(errors.ErrorKind.PEER_LOST))
     answer.call_id = call.call_id
     # It is unknown how many of them have been used.
     answer.attempts_used = call.attempts
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -19,6 +19,7 @@
 from godwitstall.limits import retry_budget
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import answers
 from godwitstall.node import dispatch
 from godwitstall.node.peers import forward
 from godwitstall.routing import picker as picker_module
@@ -162,7 +163,7 @@
         cancellation cancels the call at its owner.
         """
         if attempts < 1:
-            return dispatch.error_answer(
+            return answers.of_error(
                 errors.RequestError(errors.ErrorKind.ATTEMPTS_USED)
             )
         if self.options.is_pass_through:
@@ -315,7 +316,7 @@
             else:
                 answer = await self.forwarder.call(member.address, call)
         except errors.RequestError as e:
-            answer = dispatch.error_answer(e)
+            answer = answers.of_error(e)
             if answer.outcome is not errors.Outcome.NOT_RUN:
                 # It is unknown how many attempts the lost call has used, so
                 # all of them count.
@@ -403,7 +404,7 @@
 
 
 def _no_upstream_answer() -> messages.Answer:
-    return dispatch.error_answer(
+    return answers.of_error(
         errors.RequestError(
             errors.ErrorKind.NO_UPSTREAM,
             retry_after_ms=_NO_UPSTREAM_RETRY_AFTER_MS,
--- a/tests/listener/test_request_limits.py
+++ b/tests/listener/test_request_limits.py
@@ -13,8 +13,8 @@
 from godwitstall import http_listener
 from godwitstall import http_messages
 from godwitstall import link
+from godwitstall.node import answers
 from godwitstall.node.callers import entry
-from godwitstall.node import dispatch
 from loadtool import addresses
 
 _MAX_HEADER_BYTES = 4096
@@ -88,7 +88,7 @@
 
 
 def _respond_to_error(kind: errors.ErrorKind) -> http_messages.Response:
-    answer = dispatch.error_answer(errors.RequestError(kind))
+    answer = answers.of_error(errors.RequestError(kind))
     return entry.build_response(answer)
 
 
--- a/tests/node/test_crashing_requests.py
+++ b/tests/node/test_crashing_requests.py
@@ -185,7 +185,7 @@
             control,
             [node],
         ):
-            detector = node.node.owner.crash_detector
+            detector = node.node.owner.dispatcher.crash_detector
             for responder in (
                 fakes.sends(is_closing=True),
                 fakes.sends(_PARTIAL_RESPONSE, is_closing=True),
--- a/tests/node/test_cut_answers_at_gateways.py
+++ b/tests/node/test_cut_answers_at_gateways.py
@@ -231,7 +231,7 @@
         for node in self.nodes.values():
             node.forwarder.close()
             node.peer_server.close_links()
-            self.tasks += node.owner.crash_detector.tasks
+            self.tasks += node.owner.dispatcher.crash_detector.tasks
             await node.listener.close()
         for task in self.tasks:
             task.cancel()
