Accept routes for uploads, and reserve fields for load decisions

Cause: every configuration of a mesh with uploads was refused, since the adapter did not know the kind; it serves nothing there.

Answers gain the time that the upstream itself has spent and the room of services below, load reports the time for which an upstream stays cold; they are added at the ends of their arrays, so that peers of an earlier build read them.

--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -44,6 +44,7 @@
 Error = handshake.Error
 
 LoadReport = calls.LoadReport
+ServiceRoom = calls.ServiceRoom
 Call = calls.Call
 Answer = calls.Answer
 Cancel = calls.Cancel
--- a/godwitstall/schema/calls.py
+++ b/godwitstall/schema/calls.py
@@ -28,6 +28,23 @@
     # Requests per second that the upstream accepts; infinite without a limit,
     # None if the owner node does not know because it has just started.
     rate_limit: float | None = None
+    # Time for which the upstream stays cold, milliseconds; 0 if it is warm.
+    cold_ms: int = 0
+
+
+class ServiceRoom(msgspec.Struct, array_like=True):
+    """Room that a service has left for new work, as one node has seen it."""
+
+    # Service that the mark describes.
+    service: ids.ServiceName = ids.ServiceName('')
+    # Lowest level of requests that the service still admits; the level is
+    # derived from rank and priority, and a higher number is admitted later.
+    level: float = 0.0
+    # Time since the measurement, milliseconds, at the time of sending.
+    age_ms: int = 0
+    # Calls that one request of the answered route makes to the service, on
+    # average.
+    fan_out: float = 0.0
 
 
 class Call(msgspec.Struct, array_like=True, tag=1):
@@ -105,6 +122,11 @@
     is_replayed: bool = False
     # Load of the owner node at the time of the response.
     load: LoadReport = msgspec.field(default_factory=LoadReport)
+    # Time that the upstream itself has spent, milliseconds, without onward
+    # calls and without the wait for a slot; 0 if the request was not run.
+    own_time_ms: float = 0.0
+    # Room of the services that the request's chain needs.
+    rooms: list[ServiceRoom] = msgspec.field(default_factory=list)
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -91,6 +91,13 @@
     assert parsed.configuration.limits.idle_timeout_ms == 15_000
 
 
+def test_uploads_are_not_repeated() -> None:
+    """Guards against a rejected kind, and against uploads that run twice."""
+    content = _make_manifest()
+    content['routes']['r-a']['kind'] = 'upload'
+    assert not _parse(content).configuration.routes[0].is_idempotent
+
+
 def test_rate_without_burst_leaves_tokens_to_grant() -> None:
     """Guards against rejected requests of a workspace within its rate."""
     content = _make_manifest()
