End a request whose upstream answers with a status that HTTP lacks

Cause: 000, 001 and 099 were taken for a notice before the answer, so that the request was held until its deadline, and an answer behind it would have been returned; 600 and 999 were returned to the caller as answers. An answer of another node with such a status was returned as well.

Change: a status outside of 100 to 599 ends the request at once as a cut answer with unknown outcome, closes the connection, counts as a failure of the member and in upstream_invalid_statuses_total. A node checks the status of an answer that another node sends; an error gets the status of its kind. Unknown statuses from 102 to 199 stay notices (RFC 9110, section 15.2).

Ruled out: the command line reports a clear error for 000, 099, 600 and 999 (tried with a raw server); the adapter has no client.

--- a/godwitstall/node/answers.py
+++ b/godwitstall/node/answers.py
@@ -19,6 +19,23 @@
 _MAX_RETRY_AFTER_DIGITS = 4
 
 
+def check_status(answer: messages.Answer) -> None:
+    """Check the status of an answer that another node has sent.
+
+    An error gets the status of its kind, since only the kind counts. Errors:
+    RequestError of kind ANSWER_CUT for an answer of an upstream whose status
+    no caller could read.
+    """
+    if upstream_answer.is_final_status(answer.status):
+        return
+    if answer.kind is errors.ErrorKind.NONE:
+        raise errors.RequestError(
+            errors.ErrorKind.ANSWER_CUT,
+            f'The owner returned the invalid status {answer.status}.',
+        )
+    answer.status = errors.ANSWERS[answer.kind].status
+
+
 def of_error(error: errors.RequestError) -> messages.Answer:
     """Return the answer to a call that failed with an error."""
     rule = errors.ANSWERS[error.kind]
--- a/godwitstall/node/peers/forward.py
+++ b/godwitstall/node/peers/forward.py
@@ -17,6 +17,7 @@
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
+from godwitstall.node import answers
 
 _LOG = logs.get('forward')
 _STRAY_ANSWERS = metrics.counter(
@@ -98,6 +99,12 @@
                 errors.RequestError(message.kind, message.detail)
             )
             return
+        try:
+            if isinstance(message, messages.Answer):
+                answers.check_status(message)
+        except errors.RequestError as e:
+            future.set_exception(e)
+            return
         future.set_result(message)
 
     def on_end(self, link: link_module.Link, message: messages.Answer) -> None:
--- a/godwitstall/node/upstreams/upstream_answer.py
+++ b/godwitstall/node/upstreams/upstream_answer.py
@@ -9,6 +9,11 @@
 
 from godwitstall.node.requests import headers
 
+# Statuses of interim and final answers, and those of final answers (RFC 9110,
+# section 15).
+_STATUSES = range(100, 600)
+_FINAL_STATUSES = range(200, 600)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Framing:
@@ -44,6 +49,16 @@
     return None
 
 
+def is_status(status: int) -> bool:
+    """Return whether HTTP has such a status, of any class."""
+    return status in _STATUSES
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether an answer with this status ends a request."""
+    return status in _FINAL_STATUSES
+
+
 def is_shed(answer: UpstreamAnswer) -> bool:
     """Return whether the upstream refused the request without running it."""
     return (
--- a/godwitstall/node/upstreams/upstream_connection.py
+++ b/godwitstall/node/upstreams/upstream_connection.py
@@ -42,6 +42,10 @@
     'upstream_endless_answers_total',
     'Answers cut because their bytes came without an end.',
 )
+_INVALID_STATUSES = metrics.counter(
+    'upstream_invalid_statuses_total',
+    'Answers cut because their status is not from 100 to 599.',
+)
 
 # Connections that were idle for longer are not reused, seconds. Many HTTP
 # servers close them after 5 s, and a request sent into a closing connection is
@@ -291,6 +295,14 @@
             )
             self.close()
             return
+        if not upstream_answer.is_status(self.status):
+            _INVALID_STATUSES.inc()
+            self.fail(
+                errors.ErrorKind.ANSWER_CUT,
+                f'The upstream returned the invalid status {self.status}.',
+            )
+            self.close()
+            return
         if self._content_length() > self.max_answer_bytes:
             self.fail(errors.ErrorKind.ANSWER_TOO_LARGE)
             self.close()
