Move the HTTP modules into the package godwitstall.http

Cause: eight modules of the root folder of the package belong to one layer, and half of them carry it as a prefix of their names. Change: http_connection, http_listener, http_messages and http_parser are http.connection, http.listener, http.messages and http.parser; asgi, delivery and metrics_endpoint are in http too. byte_budget stays, since the upstream client uses it as well. Importers keep the old names as aliases, because 'messages' and 'listener' have other meanings there. No line of code changes. Measured: make lint is clean; tests/base, tests/docs and tests/listener pass (458).

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -26,8 +26,8 @@
 from godwitstall import codec
 from godwitstall.configuration import note as notes
 from godwitstall import errors
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from godwitstall import link as link_module
 from godwitstall import messages
 from loadtool import addresses
--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -12,13 +12,13 @@
 from absl import flags
 
 from godwitstall import admin
-from godwitstall import asgi
 from godwitstall import command_line
 from godwitstall.consensus import storage
 from godwitstall.control import process as process_module
 from godwitstall import errors
 from godwitstall import event_loop
-from godwitstall import http_listener
+from godwitstall.http import asgi
+from godwitstall.http import listener as http_listener
 from godwitstall import logs
 from godwitstall import settings
 from godwitstall import signals
--- /dev/null
+++ b/godwitstall/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 of the processes: listeners, messages, and their limits."""
--- a/godwitstall/asgi.py
+++ b/godwitstall/http/asgi.py
@@ -1,4 +1,4 @@
-"""Serves an ASGI application with http_listener.
+"""Serves an ASGI application with http.listener.
 
 The application gets the whole body of a request at once, and its response is
 sent when it is complete. It gets no lifespan events.
@@ -12,7 +12,7 @@
 import typing
 import urllib.parse
 
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 
 # Headers that the listener adds.
 _LISTENER_HEADERS = frozenset((b'connection', b'content-length'))
--- a/godwitstall/http_connection.py
+++ b/godwitstall/http/connection.py
@@ -14,11 +14,11 @@
 
 from godwitstall import byte_budget
 from godwitstall import clock
-from godwitstall import delivery as delivery_module
 from godwitstall import errors
 from godwitstall import event_loop
-from godwitstall import http_messages
-from godwitstall import http_parser
+from godwitstall.http import delivery as delivery_module
+from godwitstall.http import messages as http_messages
+from godwitstall.http import parser as http_parser
 from godwitstall import logs
 from godwitstall import metrics
 
--- a/godwitstall/http_listener.py
+++ b/godwitstall/http/listener.py
@@ -22,8 +22,8 @@
 
 from godwitstall import byte_budget
 from godwitstall import clock
-from godwitstall import http_connection
-from godwitstall import http_messages
+from godwitstall.http import connection as http_connection
+from godwitstall.http import messages as http_messages
 from godwitstall import link
 
 # Connections that the kernel queues until the event loop accepts them.
--- a/godwitstall/metrics_endpoint.py
+++ b/godwitstall/http/metrics_endpoint.py
@@ -1,9 +1,9 @@
-"""Handler of GET /metrics for http_listener, without litestar.
+"""Handler of GET /metrics for http.listener, without litestar.
 
 Example: listener.handlers['10.0.0.1:9464'] = metrics_endpoint.serve
 """
 
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import metrics
 
 PATH = '/metrics'
--- a/godwitstall/http_parser.py
+++ b/godwitstall/http/parser.py
@@ -12,7 +12,7 @@
 from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import logs
 
 _LOG = logs.get('http')
--- a/godwitstall/node/callers/entry.py
+++ b/godwitstall/node/callers/entry.py
@@ -16,7 +16,7 @@
 
 from godwitstall import clock
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from godwitstall import metrics
 from godwitstall.node import answers
--- a/godwitstall/node/callers/gateway.py
+++ b/godwitstall/node/callers/gateway.py
@@ -15,7 +15,7 @@
 from godwitstall import clock
 from godwitstall import decisions
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -10,9 +10,9 @@
 
 from godwitstall import clock
 from godwitstall import decisions
-from godwitstall import http_listener
+from godwitstall.http import listener as http_listener
+from godwitstall.http import metrics_endpoint
 from godwitstall import logs
-from godwitstall import metrics_endpoint
 from godwitstall.node import base_node
 from godwitstall.node.callers import gateway
 from godwitstall.node import dialect as dialect_module
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -13,11 +13,11 @@
 from absl import flags
 
 from godwitstall import admin
-from godwitstall import asgi
 from godwitstall import clock
 from godwitstall import command_line
 from godwitstall import event_loop
-from godwitstall import http_listener
+from godwitstall.http import asgi
+from godwitstall.http import listener as http_listener
 from godwitstall import logs
 from godwitstall.node import base_node
 from godwitstall.node.callers import entry
--- a/tests/base/test_admin.py
+++ b/tests/base/test_admin.py
@@ -9,8 +9,8 @@
 import pytest
 
 from godwitstall import admin
-from godwitstall import asgi
-from godwitstall import http_listener
+from godwitstall.http import asgi
+from godwitstall.http import listener as http_listener
 from godwitstall import metrics
 from loadtool import addresses
 
--- a/tests/base/test_histograms.py
+++ b/tests/base/test_histograms.py
@@ -3,9 +3,9 @@
 import asyncio
 import random
 
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
+from godwitstall.http import metrics_endpoint
 from godwitstall import metrics
-from godwitstall import metrics_endpoint
 
 
 def _samples(name: str) -> dict[str, float]:
--- a/tests/listener/connections.py
+++ b/tests/listener/connections.py
@@ -6,8 +6,8 @@
 import socket
 import struct
 
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from loadtool import addresses
 
 
--- a/tests/listener/test_clients_that_leave.py
+++ b/tests/listener/test_clients_that_leave.py
@@ -10,7 +10,7 @@
 import pytest
 
 from godwitstall import event_loop
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
--- a/tests/listener/test_close_of_asgi_apps.py
+++ b/tests/listener/test_close_of_asgi_apps.py
@@ -4,8 +4,8 @@
 import contextlib
 import typing
 
-from godwitstall import asgi
-from godwitstall import http_listener
+from godwitstall.http import asgi
+from godwitstall.http import listener as http_listener
 from godwitstall import link
 from loadtool import addresses
 
--- a/tests/listener/test_close_with_unread_answers.py
+++ b/tests/listener/test_close_with_unread_answers.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
--- a/tests/listener/test_cut_responses.py
+++ b/tests/listener/test_cut_responses.py
@@ -13,8 +13,8 @@
 import httptools
 import pytest
 
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from loadtool import addresses
 
 _TIMEOUT_S = 10.0
--- a/tests/listener/test_discarded_bytes.py
+++ b/tests/listener/test_discarded_bytes.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from godwitstall import http_connection
-from godwitstall import http_messages
+from godwitstall.http import connection as http_connection
+from godwitstall.http import messages as http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
--- a/tests/listener/test_limits_of_refusals.py
+++ b/tests/listener/test_limits_of_refusals.py
@@ -4,7 +4,7 @@
 import collections.abc
 
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 10.0
--- a/tests/listener/test_random_connections.py
+++ b/tests/listener/test_random_connections.py
@@ -15,8 +15,8 @@
 import pytest
 
 from godwitstall import errors
-from godwitstall import http_connection
-from godwitstall import http_messages
+from godwitstall.http import connection as http_connection
+from godwitstall.http import messages as http_messages
 from tests.listener import connections
 
 _TIMEOUT_S = 20.0
--- a/tests/listener/test_request_limits.py
+++ b/tests/listener/test_request_limits.py
@@ -10,8 +10,8 @@
 import pytest
 
 from godwitstall import errors
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from godwitstall import link
 from godwitstall.node import answers
 from godwitstall.node.callers import entry
--- a/tests/node/test_cut_requests.py
+++ b/tests/node/test_cut_requests.py
@@ -9,8 +9,8 @@
 import pytest
 
 from godwitstall import decisions
-from godwitstall import http_connection
-from godwitstall import http_messages
+from godwitstall.http import connection as http_connection
+from godwitstall.http import messages as http_messages
 from godwitstall.node.callers import gateway
 from tests import gateways
 
--- a/tests/node/test_repeated_refusals.py
+++ b/tests/node/test_repeated_refusals.py
@@ -17,7 +17,7 @@
 from godwitstall import clock
 from godwitstall import codec
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from godwitstall.node import gateway_node
 from godwitstall.node.upstreams import announcements
--- a/tests/platform/harnesses.py
+++ b/tests/platform/harnesses.py
@@ -8,7 +8,7 @@
 from adapter import node as node_adapter
 
 from godwitstall import errors
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall.members import registry
 from godwitstall import messages
 from godwitstall.node import gateway_node
--- a/tests/platform/test_bad_input.py
+++ b/tests/platform/test_bad_input.py
@@ -9,7 +9,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from loadtool import addresses
 from tests import gateways
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -17,7 +17,7 @@
 import pytest
 
 from godwitstall import codec
-from godwitstall import http_messages
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from tests.platform import harnesses
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -13,8 +13,8 @@
 
 from adapter import programs
 
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from godwitstall import settings
 from godwitstall import signals
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -15,8 +15,8 @@
 import dataclasses
 
 from godwitstall import clock
-from godwitstall import http_listener
-from godwitstall import http_messages
+from godwitstall.http import listener as http_listener
+from godwitstall.http import messages as http_messages
 from godwitstall import messages
 from godwitstall.node import gateway_node
 from godwitstall.node.upstreams import announcements
--- a/tests/soak/test_stops.py
+++ b/tests/soak/test_stops.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitstall import http_connection
+from godwitstall.http import connection as http_connection
 from tests.soak import clients
 from tests.soak import fleet
 from tests.soak import oracle
