Move the load of members out of the picker

Cause: choice by speed and the evacuation of zones both change the picker, which scored the members itself.

Change: routing/member_load.py holds the statistics of a member and its load and failed share. No behaviour changes; the model of the picker in test_routing.py takes the lifetime of reports from its new place.

--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -16,6 +16,7 @@
 import typing
 
 from godwitstall import messages
+from godwitstall.routing import member_load
 from godwitstall.routing import notices as notices_module
 from godwitstall.routing import view as view_module
 
@@ -28,17 +29,6 @@
 # the own zone when it is full or fails calls, as a share of the limit.
 ZONE_LOAD_MARGIN = 0.25
 
-# Weight of one call in the moving average of failed calls.
-_FAILURE_WEIGHT = 0.04
-
-# Half-life of the failed share, seconds. Without decay, a member that gets no
-# calls could not show that it has recovered.
-_FAILURE_HALF_LIFE_S = 3.0
-
-# Age at which a load report has no weight, seconds. Without expiry, a member
-# that once reported a high load would never be selected again.
-REPORT_LIFETIME_S = 2.0
-
 # Initial and longest time for which a failed member is avoided, seconds. A
 # broken link is reconnected within a few hundred milliseconds, and control
 # removes a failed member after 3 s.
@@ -56,33 +46,6 @@
 _SPEED_UP_FACTOR = 0.9
 
 
-@dataclasses.dataclass(slots=True)
-class _MemberStats:
-    """Load and failures of one member, as seen by this node."""
-
-    # Calls sent to the member and not yet answered.
-    outstanding: int = 0
-    # Queued and running requests in the last report.
-    reported: int = 0
-    # Concurrency limit in the last report; before the first, the slots of the
-    # member.
-    limit: int = 1
-    # Time of the last report, seconds.
-    reported_at: float = float('-inf')
-    # Consecutive failures; an answer of an owner that works resets them.
-    failures: int = 0
-    # Time until which the member is avoided, seconds.
-    avoided_until: float = float('-inf')
-    # Moving average of the share of calls that the upstream failed, 0 to 1.
-    failed_share: float = 0.0
-    # Time of the last update of failed_share, seconds.
-    failed_at: float = 0.0
-    # Interval between calls of this node to a member whose upstream names a
-    # rate limit, 0 without one, and time of the next call, seconds.
-    call_interval_s: float = 0.0
-    next_call_at: float = float('-inf')
-
-
 class Picker:
     """Selects among the members of a service that accept new work."""
 
@@ -95,7 +58,7 @@
         self._view = view
         self._own_zone = own_zone
         self._random = random
-        self._stats: dict[messages.NodeId, _MemberStats] = {}
+        self._stats: dict[messages.NodeId, member_load.MemberStats] = {}
         # What upstreams have announced in their answers.
         self.notices = notices_module.Notices()
         # Members that accept work, by service: own zone, other zones.
@@ -199,10 +162,7 @@
         An upstream can fail some of its calls while its health checks succeed,
         so the results of calls are counted as well.
         """
-        stats = self._stats_of(node_id)
-        share = _current_failed_share(stats, now)
-        stats.failed_share = share + _FAILURE_WEIGHT * (is_failed - share)
-        stats.failed_at = now
+        member_load.add_outcome(self._stats_of(node_id), is_failed, now)
 
     def score(self, member: messages.Member, now: float) -> float:
         """Return the load of a member as a share of its limit.
@@ -212,15 +172,17 @@
         stats = self._stats.get(member.node_id)
         if stats is None:
             return 0.0
-        return _load_share(stats, now) + _current_failed_share(stats, now)
+        return member_load.load_share(stats, now) + member_load.failed_share(
+            stats, now
+        )
 
     def _has_capacity(self, member: messages.Member, now: float) -> bool:
         """Return whether a member has no recent failures and is not full."""
         stats = self._stats.get(member.node_id)
         if stats is None:
             return True
-        return _load_share(stats, now) <= ZONE_FULL_LOAD and not (
-            _current_failed_share(stats, now)
+        return member_load.load_share(stats, now) <= ZONE_FULL_LOAD and not (
+            member_load.failed_share(stats, now)
         )
 
     def dump(self) -> dict[str, typing.Any]:
@@ -307,7 +269,7 @@
         if member.node_id in excluded:
             return False
         stats = self._stats.get(member.node_id)
-        return stats is None or _usable_from(stats) <= now
+        return stats is None or member_load.usable_from(stats) <= now
 
     def _first_to_recover(
         self, members: list[messages.Member], excluded: set[messages.NodeId]
@@ -315,14 +277,16 @@
         """Return the avoided member whose avoidance ends first."""
         return min(
             (member for member in members if member.node_id not in excluded),
-            key=lambda member: _usable_from(self._stats_of(member.node_id)),
+            key=lambda member: member_load.usable_from(
+                self._stats_of(member.node_id)
+            ),
             default=None,
         )
 
-    def _stats_of(self, node_id: messages.NodeId) -> _MemberStats:
+    def _stats_of(self, node_id: messages.NodeId) -> member_load.MemberStats:
         stats = self._stats.get(node_id)
         if stats is None:
-            stats = self._stats[node_id] = _MemberStats()
+            stats = self._stats[node_id] = member_load.MemberStats()
             member = self._view.members.get(node_id)
             if member is not None:
                 stats.limit = max(member.slots, 1)
@@ -334,27 +298,3 @@
         for node_id in [n for n in self._stats if n not in members]:
             if not self._stats[node_id].outstanding:
                 del self._stats[node_id]
-
-
-def _usable_from(stats: _MemberStats) -> float:
-    """Return the time from which a member gets calls, seconds."""
-    if not stats.call_interval_s:
-        return stats.avoided_until
-    return max(stats.avoided_until, stats.next_call_at)
-
-
-def _load_share(stats: _MemberStats, now: float) -> float:
-    age = now - stats.reported_at
-    if age >= REPORT_LIFETIME_S:
-        return stats.outstanding / stats.limit
-    weight = 1 - max(age, 0) / REPORT_LIFETIME_S
-    return (stats.outstanding + stats.reported * weight) / stats.limit
-
-
-def _current_failed_share(stats: _MemberStats, now: float) -> float:
-    if not stats.failed_share:
-        return 0.0
-    age = max(now - stats.failed_at, 0.0)
-    share = float(stats.failed_share * 0.5 ** (age / _FAILURE_HALF_LIFE_S))
-    # A share below one recent failure must not decide between idle members.
-    return share if share > _FAILURE_WEIGHT / 2 else 0.0
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -9,6 +9,7 @@
 import pytest
 
 from godwitstall import messages
+from godwitstall.routing import member_load
 from godwitstall.routing import picker
 from godwitstall.routing import table
 from godwitstall.routing import view
@@ -299,7 +300,9 @@
     usable = []
     for i, member in enumerate(owners):
         load, reported_at = reports.get(i, (0, now))
-        weight = max(1 - (now - reported_at) / picker.REPORT_LIFETIME_S, 0)
+        weight = max(
+            1 - (now - reported_at) / member_load.REPORT_LIFETIME_S, 0
+        )
         score = (outstanding[i] + load * weight) / 10
         is_usable = (
             member.state is messages.UpstreamState.READY
