Pace the requests to cold upstreams

Cause: a node sent a cold upstream as much as a warm one. A new upstream of a service with a limit of 6.5 requests a second got 21 in one second; users accept 17.8.

Unknown counts as cold: after a refused connection, the loss of the last connection, or silence, until a newer report; a probe asks for it at once. What does not fit is refused with a turn of its own to return. Load reports carry the cold time and rate, and the picker spaces calls until the cold time ends.

--- a/godwitstall/limits/fair_queue.py
+++ b/godwitstall/limits/fair_queue.py
@@ -71,6 +71,8 @@
     # until its deadline and not only for max_wait_s, because the work that its
     # chain has already done would be lost.
     is_onward: bool = False
+    # Id of the request for log lines.
+    request_id: bytes = b''
     # Maintained by the queue.
     state: _State = dataclasses.field(default=_State.NEW, init=False)
 
--- a/godwitstall/limits/upstream_rate.py
+++ b/godwitstall/limits/upstream_rate.py
@@ -67,7 +67,7 @@
         # Times of the requests sent in the last WINDOW_S under a limit.
         self._sent_at: collections.deque[float] = collections.deque()
         # Moving average of the time that a request takes, seconds.
-        self._mean_duration_s = 0.0
+        self.mean_duration_s = 0.0
 
     def is_limited(self) -> bool:
         """Return whether a limit is in force."""
@@ -151,10 +151,10 @@
 
     def on_end(self, duration_s: float) -> None:
         """Record the time that a request has taken."""
-        if not self._mean_duration_s:
-            self._mean_duration_s = duration_s
-        self._mean_duration_s += _DURATION_WEIGHT * (
-            duration_s - self._mean_duration_s
+        if not self.mean_duration_s:
+            self.mean_duration_s = duration_s
+        self.mean_duration_s += _DURATION_WEIGHT * (
+            duration_s - self.mean_duration_s
         )
 
     def sent_in_window(self) -> int:
@@ -172,9 +172,9 @@
 
         None if there is no limit or no request has ended yet.
         """
-        if not self.is_limited() or not self._mean_duration_s:
+        if not self.is_limited() or not self.mean_duration_s:
             return None
-        return max(1, round(self._rate_per_s() * self._mean_duration_s))
+        return max(1, round(self._rate_per_s() * self.mean_duration_s))
 
     def max_queued(self) -> int | None:
         """Return how many requests may wait; None if there is no limit."""
--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -32,6 +32,7 @@
 struct Target { service @0 :Text; weight @1 :Float64; }
 struct ServiceRule {
   name @0 :Text; healthPath @1 :Text; maxConnections @2 :UInt32;
+  coldStartMs @3 :UInt32; coldPerS @4 :Float64;
 }
 struct ClientLimits {
   maxHeaderBytes @0 :UInt32; maxBodyBytes @1 :UInt32;
--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -129,6 +129,9 @@
         )
         rule = self.view.upstream_rule(self.options.node_id)
         self.upstream.set_max_slots(rule.max_slots if rule else 0)
+        self.upstream.cold.set_rule(
+            self.view.services.get(self.options.service)
+        )
 
     async def start_components(self) -> None:
         """Listen for links of other nodes and start the tasks."""
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import math
 import random
 import secrets
 import typing
@@ -86,19 +87,15 @@
 
     def load(self) -> messages.LoadReport:
         """Return the load report that answers carry to entry nodes."""
-        is_usable = self.upstream.is_ready() and not self.upstream.is_stalled
-        limit = self.upstream.capacity(clock.recent()) if is_usable else 0
-        rate = self.upstream.rate
-        rate_concurrency = rate.concurrency()
-        if rate_concurrency is not None:
-            limit = min(limit, rate_concurrency)
+        now = clock.recent()
         return messages.LoadReport(
             self.slots.running,
             len(self.slots.queue),
-            limit,
+            self.upstream.load_limit(now),
             self.upstream.state,
             self.upstream.incarnation,
-            rate.limit if rate.is_known() else None,
+            self.upstream.accepted_rate(now),
+            math.ceil(self.upstream.cold.rate.remaining_s(now) * 1000),
         )
 
     async def handle(self, call: messages.Call) -> messages.Answer:
@@ -246,9 +243,9 @@
         now = clock.recent()
         if now - granted_at < _MAX_TOKEN_AGE_S:
             return
-        if not self.upstream.rate.may_send(now):
+        if not self.upstream.has_token(now):
             raise errors.RequestError(errors.ErrorKind.OVERLOADED)
-        self.upstream.rate.take(now)
+        self.upstream.take_token(now)
 
     async def _dispatch(
         self, call: messages.Call, deadline: float
--- a/godwitstall/node/dispatcher.py
+++ b/godwitstall/node/dispatcher.py
@@ -84,6 +84,8 @@
         self.throttle = throttle
         # Header names that the upstream uses; None means godwitstall-*.
         self.dialect = dialect
+        if dialect is not None:
+            upstream.status_names = dialect.status_names
 
     def is_throttled(self, call: messages.Call) -> bool:
         """Return whether the chain throttle applies to the call."""
@@ -130,6 +132,7 @@
         if result.is_connection_refused:
             self.upstream.mark_down(incarnation)
         if result.kind in _POSSIBLE_CRASH_KINDS:
+            self.upstream.on_lost_connection(client, incarnation)
             self.crash_detector.on_lost_connection(call, incarnation, client)
         return self._build_answer(call, running_request, result)
 
@@ -179,6 +182,7 @@
                 deadline,
                 call.host,
                 call.request_id,
+                self.upstream.cold.check_write,
             )
         except errors.RequestError as e:
             is_connection_refused = isinstance(
@@ -217,10 +221,7 @@
         if exchange.is_misdirected(answer):
             # Another process answers a misdirected request.
             return
-        names = upstream_status.DEFAULT_NAMES
-        if self.dialect is not None:
-            names = self.dialect.status_names
-        status = upstream_status.parse(names, answer)
+        status = upstream_status.parse(self.upstream.status_names, answer)
         self.upstream.on_status(status, incarnation, answer.headers_at)
 
     def _update_limit(
--- a/godwitstall/node/requests/headers.py
+++ b/godwitstall/node/requests/headers.py
@@ -23,6 +23,7 @@
 ATTEMPTS_USED = b'godwitstall-attempts-used'
 RATE_LIMIT = b'godwitstall-rate-limit'
 LEAVING = b'godwitstall-leaving'
+COLD_MS = b'godwitstall-cold-ms'
 
 _OWN_PREFIX = b'godwitstall-'
 
--- a/godwitstall/node/upstreams/announcements.py
+++ b/godwitstall/node/upstreams/announcements.py
@@ -30,6 +30,8 @@
     state: str = 'ready'
     # Id of the process; a request may name the only instance that may run it.
     instance_id: str = ''
+    # Time for which the process stays cold, milliseconds; 0 if it is warm.
+    cold_ms: int = 0
 
     def problems(self, service: messages.ServiceName) -> list[str]:
         """Return one message for each invalid field."""
@@ -47,6 +49,8 @@
             problems.append('slots: must be from 1 to 2^31 - 1')
         if not 1 <= self.connections < 2**31:
             problems.append('connections: must be from 1 to 2^31 - 1')
+        if not 0 <= self.cold_ms < 2**31:
+            problems.append('cold_ms: must be from 0 to 2^31 - 1')
         if not self.health_path.startswith('/'):
             problems.append('health_path: must start with /')
         if self.state not in ('ready', 'draining'):
--- a/godwitstall/node/upstreams/slots.py
+++ b/godwitstall/node/upstreams/slots.py
@@ -73,8 +73,9 @@
             future,
             call.order,
             call.is_onward,
+            request_id=call.request_id,
         )
-        self.queue.max_length = self._max_queued()
+        self.queue.max_length = self.upstream.max_queued(now)
         shed = self.queue.push(item, now)
         self.has_queued_calls.set()
         if shed is not None:
@@ -123,15 +124,8 @@
             if not self.queue:
                 self.has_queued_calls.clear()
 
-    def _max_queued(self) -> int:
-        """Return the length of the queue; a limited rate shortens it."""
-        max_queued = self.upstream.rate.max_queued()
-        if max_queued is None:
-            return self.upstream.options.max_queue
-        return min(max_queued, self.upstream.options.max_queue)
-
     def _occupy(self, is_onward: bool, now: float) -> None:
-        self.upstream.rate.take(now)
+        self.upstream.take_token(now)
         self.running += 1
         self.running_new += not is_onward
 
@@ -149,11 +143,16 @@
         if future.done():
             return
         _SHED.inc(priority=item.priority.name.lower())
-        retry_after_s = self.queue.retry_after_s(clock.recent())
-        future.set_exception(
-            errors.RequestError(
-                kind, retry_after_ms=max(1, int(retry_after_s * 1000))
+        now = clock.recent()
+        if self.upstream.cold.rate.is_cold(now):
+            retry_after_ms = self.upstream.cold.refuse(
+                item.request_id, item.workspace, now
             )
+        else:
+            retry_after_s = self.queue.retry_after_s(now)
+            retry_after_ms = max(1, int(retry_after_s * 1000))
+        future.set_exception(
+            errors.RequestError(kind, retry_after_ms=retry_after_ms)
         )
 
     def _reject_queued(self, now: float) -> None:
--- a/godwitstall/node/upstreams/upstream.py
+++ b/godwitstall/node/upstreams/upstream.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import math
 import typing
 
@@ -25,6 +26,7 @@
 from godwitstall import metrics
 from godwitstall.node.requests import context
 from godwitstall.node.upstreams import announcements
+from godwitstall.node.upstreams import cold_limit
 from godwitstall.node.upstreams import upstream_answer
 from godwitstall.node.upstreams import upstream_client
 from godwitstall.node.upstreams import upstream_status
@@ -57,6 +59,9 @@
 
 _PROBE_TIMEOUT_S = 1.0
 
+# Shortest interval between two probes, seconds.
+_MIN_PROBE_INTERVAL_S = 0.2
+
 # Shortest interval between two log lines about an exceeded rate, seconds.
 _RATE_LOG_INTERVAL_S = 1.0
 
@@ -103,6 +108,11 @@
         self.rate_logged_at = -math.inf
         # Whether an answer of the current process said that it leaves.
         self.is_leaving = False
+        self.cold = cold_limit.ColdLimit(options, self._description)
+        # Set when a probe should not wait for its interval.
+        self.probe_wanted = asyncio.Event()
+        # Names of the headers in which answers describe the upstream.
+        self.status_names = upstream_status.DEFAULT_NAMES
 
     @property
     def incarnation(self) -> int:
@@ -165,7 +175,10 @@
         self.announced_at = now
         if is_new_incarnation:
             self._start_incarnation(announcement, now)
-        elif self.slots != previous_slots:
+            self.cold.on_start(announcement.cold_ms, now)
+        else:
+            self.cold.on_announcement(announcement.cold_ms, now)
+        if not is_new_incarnation and self.slots != previous_slots:
             self.limit.set_max_slots(self.slots)
             self.on_change()
         if announcement.state == 'draining' or self.has_drained:
@@ -226,8 +239,27 @@
     def mark_down(self, incarnation: int) -> None:
         """Mark a process that exited as down until the next announcement."""
         if incarnation == self.incarnation:
+            self.doubt_warmth('refused')
             self.set_state(messages.UpstreamState.DOWN)
 
+    def doubt_warmth(self, reason: str) -> None:
+        """Treat the upstream as cold until a newer report; ask for one."""
+        self.cold.on_doubt(reason, clock.recent())
+        if self.cold.needs_report():
+            self.probe_wanted.set()
+
+    def on_lost_connection(
+        self, client: upstream_client.UpstreamClient, incarnation: int
+    ) -> None:
+        """Process the loss of a connection with a request.
+
+        All connections end with their process, so an open one shows that the
+        process goes on.
+        """
+        if incarnation != self.incarnation or client.has_open_connection():
+            return
+        self.doubt_warmth('lost')
+
     def on_answer(self, now: float) -> None:
         """Record that the upstream answered a call."""
         self.answered_at = now
@@ -290,15 +322,16 @@
         )
 
     def _log_status(self, event: str, **fields: object) -> None:
-        decisions.write(
-            'upstream',
-            event,
-            service=self.options.service,
-            instance=self.instance_id,
-            incarnation=self.incarnation,
-            state=self.state.name.lower(),
-            **fields,
-        )
+        decisions.write('upstream', event, **self._description(), **fields)
+
+    def _description(self) -> dict[str, object]:
+        """Return the fields that name the upstream in log lines."""
+        return {
+            'service': self.options.service,
+            'instance': self.instance_id,
+            'incarnation': self.incarnation,
+            'state': self.state.name.lower(),
+        }
 
     def _end_stall(self, now: float) -> None:
         _LOG.info('Upstream is no longer stalled and gets new calls.')
@@ -319,12 +352,52 @@
         """Return whether another request may be dispatched now."""
         if not self.is_ready() or self.is_stalled:
             return False
-        return running < self.capacity(now) and self.rate.may_send(now)
+        return running < self.capacity(now) and self.has_token(now)
+
+    def has_token(self, now: float) -> bool:
+        """Return whether the limits on the rate allow another request."""
+        return self.rate.may_send(now) and self.cold.rate.may_send(now)
+
+    def take_token(self, now: float) -> None:
+        """Take the tokens of a request that will be sent."""
+        self.rate.take(now)
+        self.cold.rate.take(now)
+
+    def max_queued(self, now: float) -> int:
+        """Return the length of the queue; a limited rate shortens it."""
+        lengths = (
+            self.options.max_queue,
+            self.rate.max_queued(),
+            self.cold.rate.max_queued(now),
+        )
+        return min(length for length in lengths if length is not None)
+
+    def load_limit(self, now: float) -> int:
+        """Return the number of requests at once for load reports."""
+        if not self.is_ready() or self.is_stalled:
+            return 0
+        bounds = (
+            self.capacity(now),
+            self.rate.concurrency(),
+            self.cold.rate.concurrency(self.rate.mean_duration_s, now),
+        )
+        return min(bound for bound in bounds if bound is not None)
+
+    def accepted_rate(self, now: float) -> float | None:
+        """Return the requests per second that the upstream accepts.
+
+        Infinite without a limit, None if that is not known.
+        """
+        limit = self.rate.limit if self.rate.is_known() else None
+        if not self.cold.rate.is_cold(now):
+            return limit
+        cold_per_s = self.cold.rate.rate_per_s()
+        return cold_per_s if limit is None else min(limit, cold_per_s)
 
     async def run(self) -> None:
         """Check for missing announcements and stalls until cancelled."""
         while True:
-            await asyncio.sleep(self.options.probe_interval_s)
+            await self._wait_for_probe()
             now = clock.now()
             if (
                 self.state is not messages.UpstreamState.DOWN
@@ -334,10 +407,20 @@
                     'Upstream has sent no announcement for %.1f s.',
                     now - self.announced_at,
                 )
+                self.doubt_warmth('silent')
                 self.set_state(messages.UpstreamState.DOWN)
             self._check_stall(now)
             await self._probe(now)
 
+    async def _wait_for_probe(self) -> None:
+        """Wait for the interval between probes, or until one is wanted."""
+        interval_s = self.options.probe_interval_s
+        self.probe_wanted.clear()
+        await asyncio.sleep(min(_MIN_PROBE_INTERVAL_S, interval_s))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(interval_s - _MIN_PROBE_INTERVAL_S):
+                await self.probe_wanted.wait()
+
     def _check_stall(self, now: float) -> None:
         oldest = self.contexts.oldest_pending_since()
         if self.is_stalled or oldest is None:
@@ -359,11 +442,13 @@
             return
         if self.announcement is None or now < self.paused_until:
             return
-        if now - self.answered_at < self.options.probe_interval_s:
+        if now - self.answered_at < self.options.probe_interval_s and (
+            not self.cold.needs_report()
+        ):
             return
         incarnation = self.incarnation
         try:
-            await self.client.send(
+            answer = await self.client.send(
                 'GET',
                 self.announcement.health_path,
                 b'',
@@ -380,6 +465,10 @@
                 _LOG.warning('Upstream does not answer the probe.')
                 self._start_stall(clock.now())
             return
+        cold_ms = upstream_status.parse_cold_ms(self.status_names, answer)
+        if cold_ms is not None and incarnation == self.incarnation:
+            self.cold.on_health_answer(cold_ms, now)
+            self.on_change()
         if self.contexts.oldest_pending_since() is not None:
             # An answered probe does not show that the pending calls progress.
             return
@@ -401,6 +490,7 @@
             'rate_limit': (
                 self.rate.limit if self.rate.is_limited() else None
             ),
+            'cold': self.cold.dump(),
             'announced_ago_s': round(now - self.announced_at, 3),
             'answered_ago_s': round(now - self.answered_at, 3),
             'connections_busy': len(self.client.busy) if self.client else 0,
--- a/godwitstall/node/upstreams/upstream_client.py
+++ b/godwitstall/node/upstreams/upstream_client.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import collections.abc
 
 from godwitstall import byte_budget
 from godwitstall import clock
@@ -68,17 +69,26 @@
         deadline: float,
         host: bytes = b'',
         request_id: bytes = b'',
+        check_write: collections.abc.Callable[[], None] | None = None,
     ) -> upstream_answer.UpstreamAnswer:
         """Send one request and return its complete answer.
 
         host is the Host header, by default the address. request_id is the id
-        that the answer returns, empty if the request has none. deadline is in
-        seconds of clock.recent(). Errors: RequestError of kind OVERLOADED or
-        UPSTREAM_UNREACHABLE if nothing was sent; UPSTREAM_LOST, ANSWER_CUT,
-        ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT after that. A cancellation closes
-        the connection, which notifies the upstream.
+        that the answer returns, empty if the request has none. check_write is
+        called right before the request is written, and may raise a
+        RequestError. deadline is in seconds of clock.recent(). Errors:
+        RequestError of kind OVERLOADED or UPSTREAM_UNREACHABLE if nothing was
+        sent; UPSTREAM_LOST, ANSWER_CUT, ANSWER_TOO_LARGE or UPSTREAM_TIMEOUT
+        after that. A cancellation closes the connection, which notifies the
+        upstream.
         """
         connection = await self._acquire(deadline)
+        if check_write is not None:
+            try:
+                check_write()
+            except errors.RequestError:
+                self._release(connection)
+                raise
         request = b'%s %s HTTP/1.1\r\nhost: %s\r\n%s' % (
             method.encode(),
             path.encode('latin-1'),
@@ -162,6 +172,12 @@
         connection.waiter = None
         self.idle.append(connection)
 
+    def has_open_connection(self) -> bool:
+        """Return whether a connection to the process is still open."""
+        return any(
+            connection.is_open() for connection in (*self.busy, *self.idle)
+        )
+
     async def is_refused(self, timeout_s: float) -> bool:
         """Return whether connections are refused, so no process listens.
 
--- a/godwitstall/node/upstreams/upstream_status.py
+++ b/godwitstall/node/upstreams/upstream_status.py
@@ -19,6 +19,9 @@
 
 _IS_LEAVING = b'1'
 
+# Longest cold time that an upstream may name, milliseconds.
+_MAX_COLD_MS = 2**31 - 1
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Names:
@@ -28,6 +31,8 @@
     rate_limit: bytes
     # '1' if the upstream is about to exit.
     leaving: bytes
+    # Time for which the upstream stays cold, milliseconds, in health answers.
+    cold_ms: bytes = headers.COLD_MS
 
 
 DEFAULT_NAMES = Names(headers.RATE_LIMIT, headers.LEAVING)
@@ -57,3 +62,16 @@
         leaving_text.strip() == _IS_LEAVING
     )
     return UpstreamStatus(rate_limit, is_leaving)
+
+
+def parse_cold_ms(
+    names: Names, answer: upstream_answer.UpstreamAnswer
+) -> int | None:
+    """Return how long the upstream stays cold by a health answer.
+
+    None if the answer does not say it readably.
+    """
+    text = upstream_answer.find_header(answer.headers, names.cold_ms)
+    if text is None or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return min(math.ceil(float(text)), _MAX_COLD_MS)
--- a/godwitstall/routing/notices.py
+++ b/godwitstall/routing/notices.py
@@ -40,7 +40,8 @@
         incarnation = load.upstream_incarnation
         if not incarnation:
             return False
-        if load.rate_limit is not None:
+        # The rate of a cold upstream ends by itself; Picker keeps it.
+        if load.rate_limit is not None and not load.cold_ms:
             self._set_limit(node_id, incarnation, load.rate_limit)
         if load.state is not messages.UpstreamState.DRAINING:
             return False
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -81,6 +81,10 @@
     # rate limit, 0 without one, and time of the next call, seconds.
     call_interval_s: float = 0.0
     next_call_at: float = float('-inf')
+    # End of the time for which the upstream is cold, seconds, and the requests
+    # per second that it accepts until then.
+    cold_until: float = float('-inf')
+    cold_rate: float = math.inf
 
 
 class Picker:
@@ -139,6 +143,8 @@
         stats = self._stats_of(node_id)
         stats.outstanding += 1
         limit = self.notices.limit_of(node_id)
+        if now < stats.cold_until:
+            limit = min(limit, stats.cold_rate)
         if math.isinf(limit):
             stats.call_interval_s = 0.0
             return
@@ -148,6 +154,8 @@
             )
             stats.call_interval_s = min(1 / even_share, MAX_CALL_INTERVAL_S)
         stats.next_call_at = now + stats.call_interval_s
+        if now < stats.cold_until:
+            stats.next_call_at = min(stats.next_call_at, stats.cold_until)
 
     def on_answer(
         self,
@@ -174,6 +182,7 @@
         if load is not None:
             if self.notices.on_report(node_id, load):
                 self._candidate_cache.clear()
+            _update_cold(stats, load, now)
             stats.reported = load.queued + load.in_flight
             stats.limit = max(load.limit, 1)
             stats.reported_at = now
@@ -343,6 +352,24 @@
     return max(stats.avoided_until, stats.next_call_at)
 
 
+def _update_cold(
+    stats: _MemberStats, load: messages.LoadReport, now: float
+) -> None:
+    """Store for how long an upstream is cold, by a report.
+
+    The interval between calls ends with the cold time. Otherwise a node would
+    learn only with its next call that the upstream is warm.
+    """
+    was_cold = now < stats.cold_until
+    if load.cold_ms and load.rate_limit is not None:
+        stats.cold_until = now + load.cold_ms / 1000
+        stats.cold_rate = load.rate_limit
+        stats.next_call_at = min(stats.next_call_at, stats.cold_until)
+    elif was_cold:
+        stats.cold_until = float('-inf')
+        stats.call_interval_s = 0.0
+
+
 def _load_share(stats: _MemberStats, now: float) -> float:
     age = now - stats.reported_at
     if age >= REPORT_LIFETIME_S:
--- a/godwitstall/schema/views.py
+++ b/godwitstall/schema/views.py
@@ -117,6 +117,10 @@
     health_path: str = ''
     # Maximum connections to one upstream; 0 for the announced number.
     max_connections: int = 0
+    # Time for which an upstream is cold after its start, milliseconds.
+    cold_start_ms: int = 0
+    # Requests per second that a cold upstream tolerates; 0 without a limit.
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -114,6 +114,10 @@
     # Share of the limit that is used. An upstream that slows down near its
     # limit has a higher throughput below it.
     slot_share: float = 1.0
+    # Requests per second to a cold upstream, relative to those that the
+    # configuration says it tolerates, and requests in one second in addition.
+    cold_overrun: float = 1.0
+    cold_tolerance: float = 0.0
     # Time until a new upstream receives its full share of requests, seconds.
     warmup_s: float = 10.0
     # Ratio of retries to calls that is allowed per service, 0 to 1.
@@ -231,6 +235,8 @@
     'max_queue': (1, 1_000_000),
     'max_queue_wait_ms': (1, 600_000),
     'warmup_s': (0, 3600),
+    'cold_overrun': (0.1, 10),
+    'cold_tolerance': (0, 10_000),
     'slot_share': (0.1, 1),
     'retry_ratio': (0, 1),
     'retry_min_per_s': (0, 10_000),
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -130,7 +130,10 @@
         deadline: float,
         host: bytes = b'',
         request_id: bytes = b'',
+        check_write: collections.abc.Callable[[], None] | None = None,
     ) -> upstream_answer.UpstreamAnswer:
+        if check_write is not None:
+            check_write()
         entry, sent_at = self.fleet.sent[int(request_id)]
         self.arrivals.append(Arrival(clock.recent(), entry, sent_at))
         await asyncio.sleep(self.fleet.work_s)
@@ -144,6 +147,9 @@
             200, headers, b'done', clock.recent()
         )
 
+    def has_open_connection(self) -> bool:
+        return bool(self.busy)
+
     async def is_refused(self, timeout_s: float) -> bool:
         return False
 
