--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -147,6 +147,10 @@
             200, headers, b'done', clock.recent()
         )
 
+    def cold_ms(self) -> int:
+        """Return how long the upstream stays cold, milliseconds."""
+        return 0
+
     def has_open_connection(self) -> bool:
         return bool(self.busy)
 
@@ -212,6 +216,11 @@
         self.statuses: collections.Counter[int] = collections.Counter()
         self.refusals: list[Refusal] = []
         self.view_index = 0
+        # Rules for services in the configuration.
+        self.rules: list[messages.ServiceRule] = []
+        # Requests to a cold upstream: relative and additional.
+        self.cold_overrun = 1.0
+        self.cold_tolerance = 0.0
         self.tasks: list[asyncio.Task[None]] = []
 
     def run(self, scenario: Scenario, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -246,6 +255,9 @@
         # As on the platform: all slots from the start.
         node.options.limit_policy = settings.LimitPolicy.FIXED
         node.options.warmup_s = 0.0
+        cold_rate = node.upstream.cold.rate
+        cold_rate.overrun = self.cold_overrun
+        cold_rate.tolerance = self.cold_tolerance
         forwarder: typing.Any = _Forwarder(self, name)
         node.forwarder = node.relay.forwarder = forwarder
         node.relay.picker._random = random.Random(self.random.random())
@@ -272,6 +284,7 @@
                 _SLOTS,
                 600,
                 instance_id=upstream.instance_id,
+                cold_ms=upstream.cold_ms(),
             ),
             clock.now(),
         )
@@ -286,7 +299,9 @@
             self.view_index,
             True,
             configuration=messages.Configuration(
-                number=1, routes=[_make_route(name) for name in services]
+                number=1,
+                routes=[_make_route(name) for name in services],
+                services=self.rules,
             ),
             members=[self._make_member(name) for name in self.nodes],
         )
@@ -312,7 +327,7 @@
         self.sent[number] = (entry, self.starts[entry]), clock.now()
         return number
 
-    async def call(self, entry: str, service: str) -> None:
+    async def call(self, entry: str, service: str) -> http_messages.Response:
         """Send a request of a client to a node, and record its response."""
         node = self.nodes[entry]
         number = self.add_request(entry)
@@ -330,6 +345,7 @@
         )
         if self.nodes.get(entry) is node:
             self._record(number, response)
+        return response
 
     def _record(self, number: int, response: http_messages.Response) -> None:
         process, sent_at = self.sent[number]
