Describe zone evacuation, and test it in simulated time

Cause: the note on the part was missing, and no test had a sender that gets more refusals from an evacuated zone than a call may have.

The simulated fleet gets zones, evacuations and nodes that are cut off.

--- a/tests/docs/test_names.py
+++ b/tests/docs/test_names.py
@@ -44,6 +44,8 @@
         'configuration.read',
         'configuration.replace',
         'deploy/wire.toml',
+        'evacuations.begin',
+        'evacuations.finish',
         'instances.deregister',
         'instances.heartbeat',
         'is_...',
--- a/tests/simulated_fleet.py
+++ b/tests/simulated_fleet.py
@@ -205,6 +205,11 @@
         # Statuses of all responses to clients.
         self.statuses: collections.Counter[int] = collections.Counter()
         self.refusals: list[Refusal] = []
+        # Zones of nodes in others than z1, and evacuated zones.
+        self.zones: dict[str, str] = {}
+        self.evacuations: list[messages.Evacuation] = []
+        # Nodes that get no updates of the state.
+        self.cut_off: set[str] = set()
         self.view_index = 0
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -237,6 +242,7 @@
         """Start a node, or start it again after stop()."""
         node = gateways.make_node(self.services[name])
         node.options.node_id = messages.NodeId(name)
+        node.options.zone = node.relay.picker._own_zone = self._zone(name)
         # As on the platform: all slots from the start.
         node.options.limit_policy = settings.LimitPolicy.FIXED
         node.options.warmup_s = 0.0
@@ -283,16 +289,30 @@
                 number=1, routes=[_make_route(name) for name in services]
             ),
             members=[self._make_member(name) for name in self.nodes],
+            evacuations=self.evacuations,
         )
-        for node in self.nodes.values():
-            node.view.apply(update)
+        for name, node in self.nodes.items():
+            if name not in self.cut_off:
+                node.view.apply(update)
+
+    def evacuate(self, *zones: str) -> None:
+        """Evacuate these zones, and take back all others."""
+        known = {item.zone for item in self.evacuations} | set(zones)
+        self.evacuations = [
+            messages.Evacuation(zone, zone in zones, self.view_index + 1)
+            for zone in sorted(known)
+        ]
+        self.publish()
+
+    def _zone(self, name: str) -> str:
+        return self.zones.get(name, 'z1')
 
     def _make_member(self, name: str) -> messages.Member:
         return messages.Member(
             node_id=messages.NodeId(name),
             incarnation=self.starts[name],
             service=messages.ServiceName(self.services[name]),
-            zone='z1',
+            zone=self._zone(name),
             region='r1',
             address=name,
             state=messages.UpstreamState.READY,
