Let the soak empty zones while nodes stop

Cause: no test emptied zones beside clients that pipeline, leave and cling.

An upstream notes a request that comes more than 0.5 s after the order, and the oracle counts it as a broken promise, which has a test of its own.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,6 +13,8 @@
 import collections.abc
 import contextlib
 import dataclasses
+import functools
+import math
 
 from godwitstall import clock
 from godwitstall import http_listener
@@ -41,6 +43,11 @@
 # Time after which the others hear of a stop, seconds.
 _NOTICE_S = 0.1
 
+# Time in which an evacuation must be in force, seconds.
+_EVACUATE_S = 0.5
+
+_ZONES = ('z1', 'z2')
+
 
 class Upstreams:
     """All upstreams of a fleet, and what they have received.
@@ -52,9 +59,13 @@
         self.starts: collections.Counter[str] = collections.Counter()
         self.ends: collections.Counter[str] = collections.Counter()
         self.running: collections.Counter[str] = collections.Counter()
+        # Time of the order by evacuated zone, and requests that came too late
+        # after it.
+        self.evacuated_at: dict[str, float] = {}
+        self.late: list[str] = []
 
     async def serve(
-        self, request: http_messages.Request
+        self, zone: str, request: http_messages.Request
     ) -> http_messages.Response:
         """Run a request; echo its id."""
         if not request.target.startswith('/a/'):
@@ -63,6 +74,8 @@
         _, _, delay_ms, request_id = request.target.split('/')
         self.starts[request_id] += 1
         self.running[request_id] += 1
+        if clock.now() > self.evacuated_at.get(zone, math.inf) + _EVACUATE_S:
+            self.late.append(request_id)
         try:
             await asyncio.sleep(int(delay_ms) / 1000)
             self.ends[request_id] += 1
@@ -103,11 +116,15 @@
     async def add(self, name: str) -> None:
         """Start a node and its upstream."""
         address = addresses.free_address()
-        listener = http_listener.Listener({address: self.upstreams.serve})
+        zone = _ZONES[len(self.slots) % len(_ZONES)]
+        listener = http_listener.Listener(
+            {address: functools.partial(self.upstreams.serve, zone)}
+        )
         await listener.start()
         self.listeners.append(listener)
         options = dataclasses.replace(
             gateways.make_options(name, _SERVICE),
+            zone=zone,
             link_address=addresses.free_address(),
             caller_address=addresses.free_address(),
             upstream_address=address,
@@ -162,6 +179,16 @@
         await stop
         await self.start(name)
 
+    async def evacuate(self, zones: list[str], for_s: float) -> None:
+        """Evacuate zones for a time."""
+        for zone in zones:
+            self.upstreams.evacuated_at.setdefault(zone, clock.now())
+        self.publish()
+        await asyncio.sleep(for_s)
+        for zone in zones:
+            self.upstreams.evacuated_at.pop(zone, None)
+        self.publish()
+
     def publish(self) -> None:
         """Tell all running nodes of the members."""
         self.version += 1
@@ -188,6 +215,15 @@
             True,
             configuration=messages.Configuration(number=1, routes=[route]),
             members=members,
+            evacuations=[
+                messages.Evacuation(
+                    zone,
+                    zone in self.upstreams.evacuated_at,
+                    self.version,
+                    clock.wall_ms(),
+                )
+                for zone in _ZONES
+            ],
         )
 
     def _member(self, slot: Slot) -> messages.Member:
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -20,6 +20,10 @@
         for request_id, count in upstreams.starts.items()
         if count > 1
     ]
+    found += [
+        f'{request_id} ran in an evacuated zone'
+        for request_id in upstreams.late
+    ]
     for wire in wires:
         found += _violations_of_wire(wire, upstreams)
     return found
--- a/tests/soak/test_oracle.py
+++ b/tests/soak/test_oracle.py
@@ -77,6 +77,14 @@
     assert expected in _violations(received, runs, ended)
 
 
+def test_run_in_an_evacuated_zone_is_a_violation() -> None:
+    """Guards against an oracle that ignores when requests arrive."""
+    upstreams = fleet.Upstreams()
+    upstreams.late.append('a')
+    expected = ['a ran in an evacuated zone']
+    assert oracle.violations([], upstreams) == expected
+
+
 def test_bytes_that_are_no_response_are_a_violation() -> None:
     """Guards against an oracle that ignores what it cannot parse."""
     with pytest.raises(AssertionError):
