Set warm-up limits by notes, and write them down

Cause: only the adapter of the platform could set the limit of a service, and no page named it.

Upstream.on_zone_taken_back() is for the part of evacuations.

--- a/godwitstall/configuration/note.py
+++ b/godwitstall/configuration/note.py
@@ -201,6 +201,17 @@
             ),
         },
     ),
+    'services': _EntrySchema(
+        'name',
+        'name',
+        messages.ServiceRule,
+        {
+            'cold_start_ms': _FieldSchema(
+                'cold_start_ms', _int_validator(0, 3_600_000)
+            ),
+            'cold_per_s': _FieldSchema('cold_per_s', _validate_rate, True),
+        },
+    ),
     'upstreams': _EntrySchema(
         'name',
         'name',
@@ -403,6 +414,7 @@
         keys=list(items_by_kind['keys'].values()),
         routes=list(items_by_kind['routes'].values()),
         upstreams=list(items_by_kind['upstreams'].values()),
+        services=list(items_by_kind['services'].values()),
     ), problems
 
 
--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -225,11 +225,12 @@
             ),
         ),
         ('upstreams', ('name', 'service', 'max_slots', 'is_withdrawn')),
+        ('services', ('name', 'cold_start_ms', 'cold_per_s')),
     ):
         parts += [
             '',
             f'{title}:',
-            format_table(columns, reply[title]) or 'none',
+            format_table(columns, reply.get(title, [])) or 'none',
         ]
     return Result('\n'.join(parts), data=reply)
 
--- a/godwitstall/node/upstreams/upstream.py
+++ b/godwitstall/node/upstreams/upstream.py
@@ -248,6 +248,13 @@
         if self.cold.needs_report():
             self.probe_wanted.set()
 
+    def on_zone_taken_back(self) -> None:
+        """Process that the upstream's zone is used again.
+
+        Without requests it may have become cold unnoticed.
+        """
+        self.doubt_warmth('taken_back')
+
     def on_lost_connection(
         self, client: upstream_client.UpstreamClient, incarnation: int
     ) -> None:
--- a/tests/configuration/test_configuration.py
+++ b/tests/configuration/test_configuration.py
@@ -323,3 +323,37 @@
 
 
 TestNotesAgainstModel = _NotesAgainstModel.TestCase
+
+
+_SERVICE_NOTE = """
+number = 1
+[[added.services]]
+name = "siop"
+cold_start_ms = 3000
+cold_per_s = 6.5
+"""
+
+
+def test_rule_of_a_service_stays_through_later_notes() -> None:
+    """Guards against a note that drops the limits of cold upstreams."""
+    configuration, problems = notes.build(
+        notes.parse(_SERVICE_NOTE), messages.Configuration()
+    )
+    assert not problems
+    other = notes.parse(
+        'number = 2\n[[added.upstreams]]\nname = "siop-1"\nservice = "siop"'
+    )
+    configuration, problems = notes.build(other, configuration)
+    assert not problems
+    assert configuration.services == [
+        messages.ServiceRule('siop', cold_start_ms=3000, cold_per_s=6.5)
+    ]
+
+
+@pytest.mark.parametrize('value', ['0', '-1', 'nan', 'inf', 'true', '"fast"'])
+def test_bad_rate_of_a_service_is_named(value: str) -> None:
+    """Guards against a limit that holds all requests back, or none."""
+    text = _SERVICE_NOTE.replace('6.5', value)
+    parsed = notes.parse(text)
+    assert len(parsed.problems) == 1
+    assert parsed.problems[0].startswith('added.services[0].cold_per_s: ')
--- a/tests/platform/test_manifest.py
+++ b/tests/platform/test_manifest.py
@@ -46,7 +46,12 @@
             },
         },
         'services': {
-            'siop': {'healthPath': '/healthz', 'maxConnections': 622},
+            'siop': {
+                'healthPath': '/healthz',
+                'maxConnections': 622,
+                'coldStart': '3s',
+                'coldPerS': 6.5,
+            },
             'gwydd': {'healthPath': '/healthz', 'maxConnections': 214},
         },
         'limits': {
@@ -89,6 +94,9 @@
     assert (shed.rate, shed.rank) == (0, -1)
     assert len(parsed.configuration.keys) == 3
     assert parsed.configuration.limits.idle_timeout_ms == 15_000
+    siop, gwydd = parsed.configuration.services
+    assert (siop.cold_start_ms, siop.cold_per_s) == (3000, 6.5)
+    assert (gwydd.cold_start_ms, gwydd.cold_per_s) == (0, 0.0)
 
 
 def test_uploads_are_not_repeated() -> None:
--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -80,6 +80,9 @@
     'no version': {'version': None},
     'no time until it is warm': {'coldRemaining': None},
     'time without a unit': {'coldRemaining': 0},
+    'time that is no number': {'coldRemaining': 'soon'},
+    'negative time': {'coldRemaining': '-5ms'},
+    'time without an end': {'coldRemaining': '9' * 400 + 's'},
 }
 
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -62,6 +62,7 @@
     ('routes', 'r', 'maxAttempts'),
     ('routes', 'r', 'weightedClusters', 0, 'weight'),
     ('services', 'siop', 'maxConnections'),
+    ('services', 'siop', 'coldPerS'),
     ('limits', 'maxHeaderBytes'),
     ('limits', 'maxBodyBytes'),
     ('tenants', 'shop', 'ratePerS'),
@@ -70,6 +71,7 @@
 _DURATIONS: list[_Path] = [
     ('routes', 'r', 'timeout'),
     ('routes', 'r', 'targetLatency'),
+    ('services', 'siop', 'coldStart'),
     ('limits', 'headerTimeout'),
     ('limits', 'idleTimeout'),
 ]
