Treat upstreams of a zone that is taken back as possibly cold

Cause: the two parts, warm-up limits and evacuation, were built side by side; nothing told the owner that its zone had been without work.

Change: a node whose view says that its own zone is taken back treats its upstream as cold until a newer report, and asks for one.

Measured: the new test failed before (no upstream counted as cold); it passes, as do the tests of cold upstreams and evacuated zones.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -121,6 +121,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         # Set by a signal handler, or by the stop itself.
         self.stop_requested = signals.StopRequest()
+        # Time at which the own zone was last taken back, seconds.
+        self.zone_returned_at: float | None = None
         self.view.on_change.append(self._on_view_change)
 
     def _on_view_change(self) -> None:
@@ -132,6 +134,10 @@
         self.upstream.cold.set_rule(
             self.view.services.get(self.options.service)
         )
+        returned_at = self.view.returned_at(self.options.zone)
+        if returned_at is not None and returned_at != self.zone_returned_at:
+            self.upstream.on_zone_taken_back()
+        self.zone_returned_at = returned_at
 
     async def start_components(self) -> None:
         """Listen for links of other nodes and start the tasks."""
--- a/tests/node/test_evacuated_zones.py
+++ b/tests/node/test_evacuated_zones.py
@@ -5,6 +5,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall import messages
 from godwitstall.routing import zones
 from tests import simulated_fleet
 
@@ -101,3 +102,40 @@
 
     fleet.run(scenario(), monkeypatch)
     assert set(fleet.statuses) == {200}
+
+
+def test_upstream_of_a_zone_that_is_taken_back_counts_as_cold(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against full load on an upstream that became cold unnoticed."""
+    fleet = _fleet()
+    fleet.rules = [
+        messages.ServiceRule('siop', cold_start_ms=3000, cold_per_s=6.5)
+    ]
+
+    async def scenario() -> None:
+        fleet.publish()
+        await asyncio.sleep(4.0)
+        for name in _SERVICES:
+            fleet.announce(name)
+        assert not _cold_upstreams(fleet)
+        fleet.evacuate('z1')
+        assert not _cold_upstreams(fleet)
+        fleet.evacuate()
+        assert _cold_upstreams(fleet) == set(_Z1)
+        await asyncio.sleep(1.5)
+        for name in _SERVICES:
+            fleet.announce(name)
+        fleet.publish()
+        assert not _cold_upstreams(fleet)
+
+    fleet.run(scenario(), monkeypatch)
+
+
+def _cold_upstreams(fleet: simulated_fleet.Fleet) -> set[str]:
+    now = clock.now()
+    return {
+        name
+        for name, node in fleet.nodes.items()
+        if node.upstream.cold.rate.is_cold(now)
+    }
