Count what clients cost: joined bodies, turns to parse, connections

Cause: each part of a body was an object of its own, and the budget counted its bytes only; all that the connections had read was parsed between two polls; connections took every descriptor, and the server of asyncio tried again and logged a line for each one that it could not accept. Change: parts of a body are joined as they arrive. Connections parse 16 KiB a turn and 64 KiB together between two polls. The next answer is copied to a connection when the one before has been sent. Bytes that wait to be parsed are given up above the limit too, with 503 behind the pending answers (they are not run). Clients have max_client_connections, by default half of the descriptors of a node and a quarter of control's; at the limit the longest idle are closed, never one with a request in progress. Without a descriptor, accepting pauses for 0.1 s. Lines that clients cause appear once a second. Connection is split: unparsed.UnparsedBytes, lifetime.Lifetime and exchange.Exchange have its bytes, its timeouts and one request each.

--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -14,6 +14,7 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import log_limit
 from godwitstall import logs
 from godwitstall import metrics
 
@@ -75,6 +76,7 @@
         self.holders = holders
         # Bytes that have arrived since the last count.
         self._uncounted_bytes = 0
+        self.log_limit = log_limit.LogLimit()
 
     def add(self, size: int) -> None:
         """Report bytes that a holder has received or has to send."""
@@ -108,15 +110,20 @@
             if held <= self.limit_bytes:
                 break
         _RELEASES.inc(releases, budget=self.name)
+        if self.log_limit.allows():
+            self._log_release(before, releases, held)
+        return held
+
+    def _log_release(self, before: int, releases: int, held: int) -> None:
         _LOG.warning(
-            'All %s held %d bytes, the limit is %d; %d peers gave up %d.',
+            'All %s held %d bytes, the limit is %d; %d peers gave up %d.%s',
             self.name,
             before,
             self.limit_bytes,
             releases,
             before - held,
+            self.log_limit.suffix(),
         )
-        return held
 
     def _candidates(self) -> list[Holder]:
         """Return the holders that are not small, in the order of release."""
--- a/godwitstall/control/program.py
+++ b/godwitstall/control/program.py
@@ -13,6 +13,7 @@
 
 from godwitstall import admin
 from godwitstall import command_line
+from godwitstall import connection_limit
 from godwitstall.consensus import storage
 from godwitstall.control import process as process_module
 from godwitstall import errors
@@ -61,7 +62,13 @@
             lambda: process.replica.leader_slot is not None,
         )
     )
-    listener = http_listener.Listener({options.admin_address: serve_admin})
+    listener = http_listener.Listener(
+        {options.admin_address: serve_admin},
+        max_connections=connection_limit.descriptor_share(
+            options.max_client_connections,
+            connection_limit.CONTROL_CLIENT_SHARE,
+        ),
+    )
     if options.metrics_address:
         listener.handlers[options.metrics_address] = serve_admin
     stop_requested = signals.stop_requested()
--- a/godwitstall/http/connection.py
+++ b/godwitstall/http/connection.py
@@ -7,18 +7,19 @@
 import asyncio
 import collections
 import contextlib
-import dataclasses
 import enum
-import select
 import typing
 
 from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import event_loop
-from godwitstall.http import delivery as delivery_module
+from godwitstall.http import exchange as exchange_module
+from godwitstall.http import lifetime as lifetime_module
 from godwitstall.http import messages as http_messages
+from godwitstall.http import parse_turns
 from godwitstall.http import parser as http_parser
+from godwitstall.http import unparsed as unparsed_module
 from godwitstall import logs
 from godwitstall import metrics
 
@@ -40,17 +41,6 @@
     'response was written.',
 )
 
-# Requests are parsed in parts of this size, so that few of them have to wait
-# for their handlers.
-_PARSE_BYTES = 4096
-
-# Reading is paused while a connection has this many bytes that are not parsed.
-_MAX_UNPARSED_BYTES = 64 * 1024
-
-# After its last response a connection is read for this long, until the client
-# closes it.
-_LINGER_S = 1.0
-
 # Time in which the close of a client is read behind a request that has waited
 # to be read.
 _LATE_CLOSE_WAIT_S = 0.001
@@ -69,36 +59,13 @@
     LISTENER_CLOSED = 'listener_closed'
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Exchange:
-    """A request and its response."""
-
-    # None for an invalid request, and once the handler has been started.
-    request: http_messages.Request | None = None
-    # Size of the body of the request.
-    body_bytes: int = 0
-    # None until the handler has returned or the request has been cut.
-    response: http_messages.Response | None = None
-    # Whether the request gets the response of a stop. It is built when it is
-    # written, as the time that it names counts from then.
-    is_refused: bool = False
-    # A response to HEAD has no body.
-    is_head: bool = False
-    task: asyncio.Task[None] | None = None
-
-    def held_bytes(self) -> int:
-        """Return the size of the body of the request or the response."""
-        if self.response is None:
-            return self.body_bytes
-        return len(self.response.body)
-
-
 class Server(typing.Protocol):
     """The state that the connections of a listener share."""
 
     limits: http_messages.Limits
     # Bounds the bytes of all connections together.
     budget: byte_budget.ByteBudget
+    parse_turns: parse_turns.ParseTurns
     respond_to_error: http_messages.ErrorResponder
     connections: set['Connection']
     # Number of requests that are being handled.
@@ -118,18 +85,17 @@
         self.handler = handler
         self.transport: typing.Any = None
         # Set with the transport.
-        self.delivery: delivery_module.Delivery | None = None
+        self.lifetime: lifetime_module.Lifetime
+        self.unparsed: unparsed_module.UnparsedBytes
         # Once it is stopped, no more requests are read; pending responses are
         # still sent.
         self.parser = http_parser.RequestParser(listener.limits, self)
         # Requests whose responses have not been written, oldest first.
-        self.exchanges: collections.deque[_Exchange] = collections.deque()
+        self.exchanges: collections.deque[exchange_module.Exchange] = (
+            collections.deque()
+        )
         # Whether some of them may wait for their handlers.
         self.has_waiting = False
-        # When the last response was written, or the connection was made.
-        self.last_active_at = clock.recent()
-        # When the client last sent bytes, or could not be expected to.
-        self.received_at = clock.recent()
         # The connection is closed behind the pending responses. Requests are
         # read, and refused without being passed to the handler.
         self.is_refusing = False
@@ -139,14 +105,17 @@
         # lose what it has not received yet.
         self.is_lingering = False
         self.is_write_paused = False
-        # Bytes that were read and not parsed, because the client has too many
-        # pending requests or does not read its responses. Reading goes on, as
-        # the close of the client could not be noticed otherwise.
-        self.unparsed = bytearray()
+        # Whether responses are written although the client reads none.
+        self.is_cut = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
-        self.delivery = delivery_module.Delivery(transport)
+        self.lifetime = lifetime_module.Lifetime(
+            transport, self.listener.limits
+        )
+        self.unparsed = unparsed_module.UnparsedBytes(
+            transport, self.listener.parse_turns, self
+        )
         self.transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         self.listener.connections.add(self)
 
@@ -176,9 +145,10 @@
         half read.
         """
         self.is_refusing = True
+        self.is_cut = True
         self._refuse_unparsed()
         if self.parser.request_started_at and not self.parser.is_stopped:
-            exchange = _Exchange(is_head=self.parser.is_head())
+            exchange = exchange_module.Exchange(is_head=self.parser.is_head())
             self.exchanges.append(exchange)
             self._refuse(exchange)
         self.parser.is_stopped = True
@@ -215,9 +185,11 @@
     def resume_writing(self) -> None:
         """Go on parsing when the client has caught up."""
         self.is_write_paused = False
-        self._parse_requests()
+        self._flush()
+        self.unparsed.parse()
 
-    def _may_parse(self) -> bool:
+    def may_parse(self) -> bool:
+        """Return whether more requests may be parsed now."""
         return not (
             self.parser.is_stopped
             or self.is_write_paused
@@ -231,36 +203,27 @@
                 len(data), is_answered=str(self.is_lingering).lower()
             )
             return
-        self.received_at = clock.recent()
+        self.lifetime.received_at = clock.recent()
         if (
             self.exchanges
             or self.unparsed
             or self.is_write_paused
-            or len(data) > _PARSE_BYTES
+            or len(data) > unparsed_module.PARSE_BYTES
+            or not self.listener.parse_turns.take(len(data))
         ):
-            self.unparsed += data
-            self._parse_requests()
+            self.unparsed.add(data)
+            self.unparsed.parse()
         else:
             self.parser.feed(data)
         self.listener.budget.add(len(data))
 
-    def _parse_requests(self) -> None:
-        """Parse received bytes as far as the pending requests allow it."""
-        while self.unparsed and self._may_parse():
-            part = bytes(self.unparsed[:_PARSE_BYTES])
-            del self.unparsed[:_PARSE_BYTES]
-            self.parser.feed(part)
-        if self.parser.is_stopped:
-            self.unparsed.clear()
-        self._update_reading()
+    def feed(self, data: bytes) -> None:
+        """Parse bytes in the turn of this connection."""
+        self.parser.feed(data)
 
-    def _update_reading(self) -> None:
-        if self.transport.is_closing():
-            return
-        if len(self.unparsed) > _MAX_UNPARSED_BYTES:
-            self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+    def is_stopped(self) -> bool:
+        """Return whether nothing more is parsed."""
+        return self.parser.is_stopped
 
     def reject(self, kind: errors.ErrorKind) -> None:
         """Send an error response to an invalid request and close.
@@ -271,7 +234,9 @@
             return
         response = self.listener.respond_to_error(kind)
         _BAD_REQUESTS.inc(status=str(response.status))
-        exchange = _Exchange(response=response, is_head=self.parser.is_head())
+        exchange = exchange_module.Exchange(
+            response=response, is_head=self.parser.is_head()
+        )
         self.exchanges.append(exchange)
         self.parser.discard()
         self.unparsed.clear()
@@ -281,7 +246,7 @@
         """Ask for the body of a request if no response is due before it."""
         if not self.exchanges:
             self.parser.expects_continue = False
-            self.received_at = clock.recent()
+            self.lifetime.received_at = clock.recent()
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_request(
@@ -290,7 +255,8 @@
         """Start the handler of a request, or refuse the request."""
         if closes_connection:
             self.parser.is_stopped = True
-        exchange = _Exchange(
+        self.lifetime.has_served = True
+        exchange = exchange_module.Exchange(
             request, len(request.body), is_head=request.method == 'HEAD'
         )
         self.exchanges.append(exchange)
@@ -303,18 +269,16 @@
         else:
             self.has_waiting = True
 
-    def _refuse(self, exchange: _Exchange) -> None:
+    def _refuse(self, exchange: exchange_module.Exchange) -> None:
         """Refuse a request; the response is written in its turn.
 
         A refusal takes no time, so that a client that always has a request
         pending cannot keep a connection that is about to close.
         """
         _REFUSED_REQUESTS.inc()
-        exchange.request = None
-        exchange.body_bytes = 0
-        exchange.is_refused = True
+        exchange.refuse()
 
-    def _start_handler(self, exchange: _Exchange) -> None:
+    def _start_handler(self, exchange: exchange_module.Exchange) -> None:
         assert exchange.request is not None
         exchange.task = asyncio.get_running_loop().create_task(
             self._serve(exchange, exchange.request, event_loop.is_late())
@@ -336,13 +300,11 @@
 
         The limit of pending requests does not apply, as none is handled.
         """
-        data = bytes(self.unparsed)
-        self.unparsed.clear()
-        self.parser.feed(data)
+        self.parser.feed(self.unparsed.take_all())
 
     async def _serve(
         self,
-        exchange: _Exchange,
+        exchange: exchange_module.Exchange,
         request: http_messages.Request,
         is_read_late: bool,
     ) -> None:
@@ -363,7 +325,9 @@
             self._complete(exchange, response)
 
     def _complete(
-        self, exchange: _Exchange, response: http_messages.Response
+        self,
+        exchange: exchange_module.Exchange,
+        response: http_messages.Response,
     ) -> None:
         exchange.task = None
         exchange.response = response
@@ -382,6 +346,9 @@
                 )
             if exchange.response is None:
                 break
+            if self.is_write_paused and not self.is_cut:
+                # The transport would copy it, for a client that does not read.
+                break
             if self.listener.is_stopping:
                 self.is_refusing = True
             if self.is_refusing and self.unparsed and len(self.exchanges) == 1:
@@ -399,7 +366,7 @@
                     exchange.response, exchange.is_head, is_last
                 )
             )
-            self.last_active_at = clock.recent()
+            self.lifetime.last_active_at = clock.recent()
             if is_last:
                 self._linger()
                 return
@@ -408,7 +375,7 @@
         if self.parser.is_body_held_back():
             self.on_expect_continue()
         if self.unparsed:
-            self._parse_requests()
+            self.unparsed.parse()
 
     def _linger(self) -> None:
         """Send the end of the stream; ignore what still arrives."""
@@ -418,42 +385,19 @@
         # The client may have reset the connection.
         with contextlib.suppress(OSError):
             self.transport.write_eof()
-        self._update_reading()
+        self.unparsed.update_reading()
 
     def close_if_finished(self) -> None:
         """Close the connection if no request and no response can be lost."""
         if self.parser.request_started_at or self.exchanges or self.unparsed:
             return
-        if self._has_lingered(clock.recent()):
+        if self.lifetime.has_lingered(clock.recent()):
             self.parser.is_stopped = True
             self.transport.close()
         elif not self.is_lingering:
             # The last response may still be on its way.
             self._linger()
 
-    def _has_lingered(self, now: float) -> bool:
-        return (
-            now - self.last_active_at > _LINGER_S
-            and not self.transport.get_write_buffer_size()
-        )
-
-    def _is_left_unread(self) -> bool:
-        """Return whether the client has left while reading is paused."""
-        if self.transport.is_closing() or self.transport.is_reading():
-            return False
-        poll = select.poll()
-        client_socket = self.transport.get_extra_info('socket')
-        poll.register(client_socket.fileno(), select.POLLRDHUP)
-        return bool(poll.poll(0))
-
-    def _is_stalled(self, now: float) -> bool:
-        """Return whether the client does not read its responses."""
-        assert self.delivery is not None
-        self.delivery.update(now)
-        return self.delivery.is_stalled(
-            now, self.listener.limits.delivery_timeout_s
-        )
-
     def _abort(self) -> None:
         """Close the connection at once, and discard what is unsent."""
         self._on_client_left()
@@ -464,43 +408,56 @@
 
         A client that leaves while reading is paused is noticed here, too.
         """
-        limits = self.listener.limits
-        if self._is_left_unread() or self._is_stalled(now):
+        if self.lifetime.is_abandoned(now):
             self._abort()
         elif self.is_lingering:
-            if self._has_lingered(now):
+            if self.lifetime.has_lingered(now):
                 self.transport.close()
         elif self.parser.request_started_at:
             self._check_half_read_request(now)
         elif not (self.exchanges or self.unparsed) and (
-            now - self.last_active_at > limits.idle_timeout_s
+            self.lifetime.is_idle_too_long(now)
         ):
             self.parser.is_stopped = True
             self.transport.close()
 
     def _check_half_read_request(self, now: float) -> None:
         limits = self.listener.limits
-        if not self._may_parse():
+        if self.unparsed or not self.may_parse():
             # The rest of the request may have arrived.
-            self.parser.request_started_at = self.received_at = now
+            self.parser.request_started_at = self.lifetime.received_at = now
         elif self.parser.is_in_headers:
             started_at = self.parser.request_started_at
             if now - started_at > limits.header_timeout_s:
                 self.reject(errors.ErrorKind.HEADERS_LATE)
         elif self.exchanges:
             # The client may wait for a response first.
-            self.received_at = now
-        elif now - self.received_at > limits.idle_timeout_s:
+            self.lifetime.received_at = now
+        elif self.lifetime.is_body_late(now):
             self.reject(errors.ErrorKind.BODY_LATE)
 
+    # Methods for the limit on connections.
+
+    def idle_order(self) -> tuple[int, float] | None:
+        """Return the rank and last activity; None while a request runs."""
+        if any(exchange.response is None for exchange in self.exchanges):
+            return None
+        return self.lifetime.idle_order(
+            self.is_lingering,
+            bool(self.parser.request_started_at or self.unparsed),
+            self.is_write_paused,
+        )
+
+    def close_idle(self) -> None:
+        """Close the connection; nothing of it has been passed on."""
+        self._abort()
+
     # Methods for the budget of the listener.
 
     @property
     def moved_at(self) -> float:
         """Time at which the client last read or sent something, seconds."""
-        if self.delivery is not None and self.delivery.unsent_bytes():
-            return self.delivery.moved_at
-        return self.received_at
+        return self.lifetime.moved_at()
 
     def held_bytes(self) -> int:
         """Return the size of what is read, handled, and not yet sent."""
@@ -514,7 +471,9 @@
 
     def release_bytes(self) -> None:
         """Reject a half-read request, or abort responses that are not read."""
-        if self.parser.request_started_at and not self.parser.is_stopped:
+        if not self.parser.is_stopped and (
+            self.parser.request_started_at or self.unparsed
+        ):
             self.reject(errors.ErrorKind.MEMORY_FULL)
         elif self.is_write_paused:
             self._abort()
--- a/godwitstall/http/listener.py
+++ b/godwitstall/http/listener.py
@@ -18,12 +18,15 @@
 import asyncio
 import collections.abc
 import contextlib
-import socket
+import functools
 
+from godwitstall import acceptor as acceptor_module
 from godwitstall import byte_budget
 from godwitstall import clock
+from godwitstall import connection_limit
 from godwitstall.http import connection as http_connection
 from godwitstall.http import messages as http_messages
+from godwitstall.http import parse_turns
 from godwitstall import link
 
 # Connections that the kernel queues until the event loop accepts them.
@@ -57,6 +60,7 @@
         respond_to_error: http_messages.ErrorResponder = (
             http_messages.respond_plainly
         ),
+        max_connections: int = 0,
     ) -> None:
         # Keyed by 'host:port'.
         self.handlers = handlers
@@ -71,9 +75,16 @@
         self.budget = byte_budget.ByteBudget(
             'requests', MAX_HELD_BYTES, self.connections
         )
-        self.servers: dict[str, asyncio.Server] = {}
-        # The listening sockets of the servers.
-        self.sockets: dict[str, socket.socket] = {}
+        # 0 selects the share of a node.
+        self.connection_limit = connection_limit.ConnectionLimit(
+            'clients',
+            connection_limit.descriptor_share(
+                max_connections, connection_limit.NODE_CLIENT_SHARE
+            ),
+            self.connections,
+        )
+        self.parse_turns = parse_turns.ParseTurns()
+        self.acceptors: dict[str, acceptor_module.Acceptor] = {}
         self.timeout_task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -82,19 +93,15 @@
         Errors: OSError when an address is not available.
         """
         for address, handler in self.handlers.items():
-            self.sockets[address] = _bind(address)
-            self.servers[address] = await self._listen(address, handler)
+            host, port = link.split_address(address)
+            self.acceptors[address] = acceptor = acceptor_module.Acceptor(
+                acceptor_module.bind(host, port),
+                functools.partial(http_connection.Connection, self, handler),
+                self.connection_limit,
+            )
+            acceptor.start(_BACKLOG)
         self.timeout_task = asyncio.create_task(self._check_timeouts())
 
-    async def _listen(
-        self, address: str, handler: http_messages.Handler
-    ) -> asyncio.Server:
-        return await asyncio.get_running_loop().create_server(
-            lambda: http_connection.Connection(self, handler),
-            sock=self.sockets[address],
-            backlog=_BACKLOG,
-        )
-
     async def _check_timeouts(self) -> None:
         while True:
             await asyncio.sleep(_TIMEOUT_CHECK_INTERVAL_S)
@@ -104,7 +111,7 @@
 
     def is_accepting(self, address: str) -> bool:
         """Return whether connections to an address are accepted."""
-        return self.servers[address].is_serving()
+        return self.acceptors[address].is_accepting
 
     async def stop_accepting(self, address: str) -> None:
         """Close the listening socket of an address, not its connections."""
@@ -113,38 +120,11 @@
     async def _close_listening_sockets(
         self, addresses: collections.abc.Iterable[str]
     ) -> None:
-        """Close listening sockets; accept all that clients have opened.
-
-        If asyncio.Server is closed between the accept() of a connection and
-        its registration with the server, Python 3.11 leaves the connection
-        open and never reads it. Accepting therefore stops two loop iterations
-        earlier: one for an accept() that was already scheduled, and one for
-        the registration. Connections that the kernel has queued are accepted
-        here, since the close of the socket would reset them.
-        """
-        loop = asyncio.get_running_loop()
-        open_addresses = [a for a in addresses if self.is_accepting(a)]
-        for address in open_addresses:
-            loop.remove_reader(self.sockets[address].fileno())
-        for _ in range(2):
-            await asyncio.sleep(0)
-        for address in open_addresses:
-            accepted = list(_accept_queued(self.sockets[address]))
-            self.servers[address].close()
-            for accepted_socket in accepted:
-                await self._serve_connection(address, accepted_socket)
-
-    async def _serve_connection(
-        self, address: str, accepted_socket: socket.socket
-    ) -> None:
-        # The client may have reset the connection.
-        with contextlib.suppress(OSError):
-            await asyncio.get_running_loop().connect_accepted_socket(
-                lambda: http_connection.Connection(
-                    self, self.handlers[address]
-                ),
-                accepted_socket,
-            )
+        """Close listening sockets; accept all that clients have opened."""
+        for address in addresses:
+            acceptor = self.acceptors[address]
+            acceptor.close()
+            await acceptor.wait_registered()
 
     async def close_gracefully(self, timeout_s: float) -> None:
         """Stop listening, finish the pending requests, and close.
@@ -153,7 +133,7 @@
         have a short time to read their responses.
         """
         self.is_stopping = True
-        await self._close_listening_sockets(list(self.servers))
+        await self._close_listening_sockets(list(self.acceptors))
         deadline = clock.recent() + timeout_s
         # Nothing has been read yet from connections accepted just now.
         await asyncio.sleep(_FIRST_READ_WAIT_S)
@@ -179,40 +159,10 @@
 
         Pending requests are cut.
         """
-        await self._close_listening_sockets(list(self.servers))
+        await self._close_listening_sockets(list(self.acceptors))
         if self.timeout_task is not None:
             self.timeout_task.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await self.timeout_task
         for connection in list(self.connections):
             connection.close()
-
-
-def _bind(address: str) -> socket.socket:
-    host, port = link.split_address(address)
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
-    # asyncio disables Nagle's algorithm only on sockets created with
-    # IPPROTO_TCP. The algorithm delays the body of a response by 40 ms, until
-    # the delayed ACK of the peer.
-    listening_socket = socket.socket(
-        family, socket.SOCK_STREAM, socket.IPPROTO_TCP
-    )
-    listening_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        listening_socket.bind((host, port))
-    except OSError as e:
-        listening_socket.close()
-        raise OSError(f'Cannot listen on {address}: {e.strerror}.') from e
-    return listening_socket
-
-
-def _accept_queued(
-    listening_socket: socket.socket,
-) -> collections.abc.Iterator[socket.socket]:
-    """Accept the connections that the kernel has queued."""
-    # None is left, or a client has reset its connection.
-    with contextlib.suppress(OSError):
-        while True:
-            accepted_socket, _ = listening_socket.accept()
-            accepted_socket.setblocking(False)
-            yield accepted_socket
--- a/godwitstall/http/parser.py
+++ b/godwitstall/http/parser.py
@@ -13,9 +13,11 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall.http import messages as http_messages
+from godwitstall import log_limit
 from godwitstall import logs
 
 _LOG = logs.get('http')
+_bad_requests = log_limit.LogLimit()
 
 # The ': ' and the line end of a header line.
 _HEADER_LINE_OVERHEAD_BYTES = 4
@@ -77,7 +79,9 @@
         self.expects_continue = False
         # Whether the client offers another protocol.
         self.is_upgrade = False
-        self.body: list[bytes] = []
+        # Parts are joined as they arrive: as objects of their own, those of a
+        # few bytes would cost many times their size.
+        self.body: bytes | bytearray = b''
         self.body_bytes = 0
 
     def is_body_held_back(self) -> bool:
@@ -123,7 +127,8 @@
             pass
         except httptools.HttpParserError as e:
             if not self.is_stopped:
-                _LOG.info('Bad request: %s.', e)
+                if _bad_requests.allows():
+                    _LOG.info('Bad request: %s.%s', e, _bad_requests.suffix())
                 self.receiver.reject(errors.ErrorKind.BAD_REQUEST)
         outside_bytes = (
             self.header_bytes if self.is_in_headers else self.bytes_since_body
@@ -227,9 +232,18 @@
         self.bytes_since_body = 0
         if self.body_bytes > self.limits.max_body_bytes:
             self.receiver.reject(errors.ErrorKind.BODY_TOO_LARGE)
-            self.body.clear()
+            self.body = b''
         elif not self.is_stopped:
-            self.body.append(body)
+            self._add_to_body(body)
+
+    def _add_to_body(self, part: bytes) -> None:
+        if not self.body:
+            # Most bodies have one part only.
+            self.body = part
+            return
+        if isinstance(self.body, bytes):
+            self.body = bytearray(self.body)
+        self.body += part
 
     def on_message_complete(self) -> None:
         self.request_started_at = 0.0
@@ -241,10 +255,10 @@
             self.parser.get_method().decode('ascii', 'replace'),
             self.url.decode('latin-1'),
             self.headers,
-            b''.join(self.body),
+            bytes(self.body),
             clock.recent(),
         )
-        self.body = []
+        self.body = b''
         # The listener supports no other protocol, and the parser reads nothing
         # behind an upgrade request.
         closes_connection = (
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -52,6 +52,7 @@
         self.listener = http_listener.Listener(
             {options.caller_address: self.gateway.serve},
             self.gateway.respond_to_error,
+            options.max_client_connections,
         )
         if options.metrics_address:
             self.listener.handlers[options.metrics_address] = (
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -74,6 +74,7 @@
                 options.admin_address: serve_admin,
             },
             self.entry.respond_to_error,
+            options.max_client_connections,
         )
         if options.metrics_address:
             self.listener.handlers[options.metrics_address] = serve_admin
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -142,6 +142,12 @@
     # Additional address that serves /metrics, 'host:port'; empty for none.
     # Needed where admin_address serves another API and no metrics.
     metrics_address: str = ''
+    # Maximum connections of clients, on all HTTP addresses together; 0 for
+    # half of the process's descriptors.
+    max_client_connections: int = 0
+    # Maximum links that other nodes open; 0 for a quarter of the
+    # descriptors.
+    max_peer_connections: int = 0
     # Whether to forward without limits and with naive retries, as a baseline
     # for benchmarks.
     is_pass_through: bool = False
@@ -198,6 +204,12 @@
     crash_threshold: int = 3
     # Duration of a quarantine, seconds.
     quarantine_lifetime_s: float = 86_400.0
+    # Maximum connections of clients, on all HTTP addresses together; 0 for
+    # a quarter of the process's descriptors.
+    max_client_connections: int = 0
+    # Maximum links that other processes open; 0 for half of the
+    # descriptors.
+    max_peer_connections: int = 0
 
 
 @dataclasses.dataclass
@@ -237,6 +249,8 @@
     'announce_timeout_s': (0.1, 5.0),
     'probe_interval_s': (0.05, 5.0),
     'max_connections': (0, 100_000),
+    'max_client_connections': (0, 100_000),
+    'max_peer_connections': (0, 100_000),
     'default_deadline_ms': (1, 3_600_000),
     'stop_timeout_s': (0, 3600),
     'stop_settle_s': (0, 3600),
