Select upstreams by their speed as well as by their load

Cause: the picker compared upstreams by load alone. Upstreams of one service that differ in speed by up to three times were told apart only after the slow ones had filled up, and idle ones not at all.

Change: owners report the time that their upstream itself has spent in Answer.own_time_ms. Senders compare it with the average of the route over all members (routing/member_speed.py) and select by the time to finish one more call (member_load.time_to_finish). A ratio starts at 1, is bounded to 4 and ages; times that cannot be true are ignored and counted; work above 0.9 of the limit counts in full at any speed. The switch node.weighs_member_speed is off by default. The spread of the work that a node sends is a metric, and the log of a failed try has the figures behind the choice.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -26,6 +26,7 @@
 from godwitstall.node.upstreams import upstream as upstream_module
 from godwitstall.node.upstreams import upstream_answer
 from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import member_speed
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
@@ -112,7 +113,14 @@
         self.forwarder = forward.Forwarder(identity, local_host)
         self.relay = relay.Relay(
             options,
-            picker_module.Picker(self.view, options.zone, random.Random()),
+            picker_module.Picker(
+                self.view,
+                options.zone,
+                random.Random(),
+                member_speed.MemberSpeeds()
+                if options.weighs_member_speed
+                else None,
+            ),
             self.forwarder,
             self.owner,
             _MESH_RETRY_POLICY if dialect is not None else None,
--- a/godwitstall/node/dispatcher.py
+++ b/godwitstall/node/dispatcher.py
@@ -131,7 +131,7 @@
             self.upstream.mark_down(incarnation)
         if result.kind in _POSSIBLE_CRASH_KINDS:
             self.crash_detector.on_lost_connection(call, incarnation, client)
-        return self._build_answer(call, running_request, result)
+        return self._build_answer(call, running_request, result, ended)
 
     def _log_failed_run(
         self,
@@ -246,6 +246,7 @@
         call: messages.Call,
         running_request: context.RequestContext,
         result: _DispatchResult,
+        now: float,
     ) -> messages.Answer:
         rule = errors.ANSWERS[result.kind]
         attempts_used = call.attempts - running_request.budget.remaining
@@ -265,6 +266,8 @@
             answer.status = result.answer.status
             answer.headers = headers.to_block(result.answer.headers)
             answer.body = result.answer.body
+        if rule.outcome is not errors.Outcome.NOT_RUN:
+            answer.own_time_ms = running_request.own_time_s(now) * 1000
         if result.kind is errors.ErrorKind.UPSTREAM_SHED and (
             result.answer is not None
         ):
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -22,6 +22,7 @@
 from godwitstall.node import answers
 from godwitstall.node import dispatch
 from godwitstall.node.peers import forward
+from godwitstall.routing import figures as figures_module
 from godwitstall.routing import picker as picker_module
 from godwitstall import settings
 
@@ -188,6 +189,7 @@
                 break
             call.attempts = min(max(1, route.dispatch_attempts), attempts_left)
             previous = answer
+            figures = self.picker.figures(member, clock.recent())
             answer = await self._send_once(member, call, deadline)
             if previous is not None and _keeps_previous(answer, previous):
                 answer = previous
@@ -199,7 +201,7 @@
                 attempts_left -= 1
             else:
                 attempts_left -= min(attempts_left, answer.attempts_used)
-            self._log_failed_try(call, member, answer)
+            self._log_failed_try(call, member, answer, figures)
             excluded.add(member.node_id)
             now = clock.recent()
             if not self._may_retry(answer, call) or attempts_left < 1:
@@ -226,6 +228,7 @@
         call: messages.Call,
         member: messages.Member,
         answer: messages.Answer,
+        figures: figures_module.ChoiceFigures,
     ) -> None:
         """Log the try unless it succeeded."""
         if answer.kind is errors.ErrorKind.NONE and (
@@ -248,6 +251,7 @@
             owner_limit=answer.load.limit,
             owner_rate_limit=_rate_limit(answer),
             deadline_ms=call.deadline_ms,
+            **figures.as_fields(),
         )
 
     def _may_retry(self, answer: messages.Answer, call: messages.Call) -> bool:
@@ -306,8 +310,9 @@
         call: messages.Call,
         deadline: float,
     ) -> messages.Answer:
-        call.deadline_ms = max(1, int((deadline - clock.recent()) * 1000))
-        self.picker.on_dispatch(member.node_id, clock.recent())
+        sent_at = clock.recent()
+        call.deadline_ms = max(1, int((deadline - sent_at) * 1000))
+        self.picker.on_dispatch(member.node_id, sent_at)
         self.picker.notices.add_limit(member.node_id, call)
         answer: messages.Answer | None = None
         try:
@@ -327,6 +332,15 @@
             raise
         else:
             self._update_picker(member, answer, answer.load)
+            if _shows_speed(answer):
+                now = clock.recent()
+                self.picker.on_run_time(
+                    member.node_id,
+                    call.route_name,
+                    answer.own_time_ms,
+                    (now - sent_at) * 1000,
+                    now,
+                )
         return answer
 
     def _update_picker(
@@ -354,6 +368,8 @@
         """Return the state for the admin listener."""
         return {
             'picker': self.picker.dump(),
+            'weighs_member_speed': self.picker.speeds is not None,
+            'spread': dict(self.picker.spread.last),
             'links': self.forwarder.dump(),
         }
 
@@ -371,6 +387,20 @@
     )
 
 
+def _shows_speed(answer: messages.Answer) -> bool:
+    """Return whether an answer shows the speed of the owner's upstream.
+
+    An upstream that fails requests can be quick about it, and the answer of an
+    operation record was not run now.
+    """
+    return (
+        answer.kind is errors.ErrorKind.NONE
+        and answer.status < _FIRST_SERVER_ERROR_STATUS
+        and answer.own_time_ms != 0
+        and not answer.is_replayed
+    )
+
+
 def _rate_limit(answer: messages.Answer) -> float | None:
     """Return the rate limit of the owner's upstream, None if it has none."""
     rate_limit = answer.load.rate_limit
--- a/godwitstall/routing/member_load.py
+++ b/godwitstall/routing/member_load.py
@@ -8,6 +8,13 @@
 
 import dataclasses
 
+# Load from which new calls may wait for a slot, as a share of the limit.
+FULL_LOAD = 0.9
+
+# Weight of the load above FULL_LOAD. With the lowest ratio that a member can
+# report, it must exceed what the member saves by its ratio.
+_WAIT_WEIGHT = 4.0
+
 # Weight of one call in the moving average of failed calls.
 _FAILURE_WEIGHT = 0.04
 
@@ -47,6 +54,20 @@
     next_call_at: float = float('-inf')
 
 
+def time_to_finish(score: float, slots: int, speed_ratio: float) -> float:
+    """Return how long a member would need for its work and one more call.
+
+    The unit is what an average member needs for as many calls as it has
+    slots. Idle members differ by their speed. Work above FULL_LOAD counts in
+    full at any speed, because it waits: a member that is said to be fast does
+    not get more than it can run.
+    """
+    time = (score + 1 / max(slots, 1)) * speed_ratio
+    if score > FULL_LOAD:
+        time += (score - FULL_LOAD) * _WAIT_WEIGHT
+    return time
+
+
 def usable_from(stats: MemberStats) -> float:
     """Return the time from which a member gets calls, seconds."""
     if not stats.call_interval_s:
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -16,10 +16,19 @@
 import typing
 
 from godwitstall import messages
+from godwitstall import metrics
+from godwitstall.routing import figures as figures_module
 from godwitstall.routing import member_load
+from godwitstall.routing import member_speed
 from godwitstall.routing import notices as notices_module
+from godwitstall.routing import spread as spread_module
 from godwitstall.routing import view as view_module
 
+_IGNORED_TIMES = metrics.counter(
+    'run_times_ignored_total',
+    'Reported times of upstreams that are not plausible.',
+)
+
 # Load up to which calls stay in the own zone, as a share of the limit. A
 # member that is not full runs a call immediately, so another zone would not
 # run it sooner.
@@ -54,11 +63,16 @@
         view: view_module.View,
         own_zone: str,
         random: random_module.Random,
+        speeds: member_speed.MemberSpeeds | None = None,
     ) -> None:
         self._view = view
         self._own_zone = own_zone
         self._random = random
         self._stats: dict[messages.NodeId, member_load.MemberStats] = {}
+        # Speed of the members; None to select by load alone.
+        self.speeds = speeds
+        # Spread of the work that this node sends.
+        self.spread = spread_module.Spread()
         # What upstreams have announced in their answers.
         self.notices = notices_module.Notices()
         # Members that accept work, by service: own zone, other zones.
@@ -164,6 +178,41 @@
         """
         member_load.add_outcome(self._stats_of(node_id), is_failed, now)
 
+    def on_run_time(
+        self,
+        node_id: messages.NodeId,
+        route_name: str,
+        own_time_ms: float,
+        waited_ms: float,
+        now: float,
+    ) -> None:
+        """Add the time that the upstream of a member has spent on a call.
+
+        waited_ms is the time from the call to its answer.
+        """
+        member = self._view.members.get(node_id)
+        if member is None or not member_speed.is_plausible(
+            own_time_ms, waited_ms
+        ):
+            _IGNORED_TIMES.inc()
+            return
+        self.spread.add(
+            member.service, node_id, own_time_ms, member.slots, now
+        )
+        if self.speeds is not None:
+            self.speeds.add_time(node_id, route_name, own_time_ms, now)
+
+    def _cost(self, member: messages.Member, now: float) -> float:
+        """Return what the members of one zone are compared by."""
+        score = self.score(member, now)
+        if self.speeds is None:
+            return score
+        return member_load.time_to_finish(
+            score,
+            member.slots,
+            self.speeds.ratio(member.node_id, now),
+        )
+
     def score(self, member: messages.Member, now: float) -> float:
         """Return the load of a member as a share of its limit.
 
@@ -187,11 +236,34 @@
 
     def dump(self) -> dict[str, typing.Any]:
         """Return the statistics of each member, for /state."""
+        speeds = {} if self.speeds is None else self.speeds.dump()
         return {
-            node_id: dataclasses.asdict(stats)
+            node_id: {
+                **dataclasses.asdict(stats),
+                **speeds.get(node_id, {}),
+            }
             for node_id, stats in self._stats.items()
         }
 
+    def figures(
+        self, member: messages.Member, now: float
+    ) -> figures_module.ChoiceFigures:
+        """Return what is known of a member that has just been selected."""
+        stats = self._stats_of(member.node_id)
+        ratio, ratio_age_s = 1.0, math.inf
+        if self.speeds is not None:
+            ratio = self.speeds.ratio(member.node_id, now)
+            ratio_age_s = self.speeds.age_s(member.node_id, now)
+        return figures_module.ChoiceFigures(
+            member.zone,
+            stats.outstanding,
+            stats.reported,
+            now - stats.reported_at,
+            self.score(member, now),
+            ratio,
+            ratio_age_s,
+        )
+
     def _candidates(
         self, service: str
     ) -> tuple[list[messages.Member], list[messages.Member]]:
@@ -230,7 +302,7 @@
         second = self._sample_member(members, excluded, first, now)
         if second is None:
             return first
-        if self.score(second, now) < self.score(first, now):
+        if self._cost(second, now) < self._cost(first, now):
             return second
         return first
 
@@ -298,3 +370,5 @@
         for node_id in [n for n in self._stats if n not in members]:
             if not self._stats[node_id].outstanding:
                 del self._stats[node_id]
+        if self.speeds is not None:
+            self.speeds.retain(members)
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -142,6 +142,8 @@
     # Additional address that serves /metrics, 'host:port'; empty for none.
     # Needed where admin_address serves another API and no metrics.
     metrics_address: str = ''
+    # Whether members are selected by their speed as well as by their load.
+    weighs_member_speed: bool = False
     # Whether to forward without limits and with naive retries, as a baseline
     # for benchmarks.
     is_pass_through: bool = False
