Lend room between zones before one of them is full

Cause: a call left its zone only when the better of two members was nearly full and a remote one had a load lower by 0.25. Near the limit, zones sent each other the same work, since a remote member without a recent report looked idle.

Change: routing/zone_balance.py averages the load of each zone from the load reports of answers. From 0.85 of the limit, a share of the calls that changes in small steps goes to zones that are emptier by 0.1 and below 0.85. With lending, a remote member is at least as full as its zone, and a full zone sends nothing to one that is as full. The switch node.lends_zone_room is off by default; calls to other zones are counted by reason. The bookkeeping of calls moves from picker.py to member_load.py without a change.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -29,6 +29,7 @@
 from godwitstall.routing import member_speed
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
+from godwitstall.routing import zone_balance
 from godwitstall import settings
 from godwitstall import signals
 from godwitstall import supervision
@@ -120,6 +121,9 @@
                 member_speed.MemberSpeeds()
                 if options.weighs_member_speed
                 else None,
+                zone_balance.ZoneBalance(options.zone, random.Random())
+                if options.lends_zone_room
+                else None,
             ),
             self.forwarder,
             self.owner,
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -369,6 +369,9 @@
         return {
             'picker': self.picker.dump(),
             'weighs_member_speed': self.picker.speeds is not None,
+            'zones': None
+            if self.picker.zones is None
+            else self.picker.zones.dump(),
             'spread': dict(self.picker.spread.last),
             'links': self.forwarder.dump(),
         }
--- a/godwitstall/routing/member_load.py
+++ b/godwitstall/routing/member_load.py
@@ -7,6 +7,9 @@
 """
 
 import dataclasses
+import math
+
+from godwitstall import messages
 
 # Load from which new calls may wait for a slot, as a share of the limit.
 FULL_LOAD = 0.9
@@ -27,6 +30,23 @@
 REPORT_LIFETIME_S = 2.0
 
 
+# Initial and longest time for which a failed member is avoided, seconds. A
+# broken link is reconnected within a few hundred milliseconds, and control
+# removes a failed member after 3 s.
+INITIAL_AVOIDANCE_S = 0.2
+MAX_AVOIDANCE_S = 5.0
+
+# Lowest rate limit with which intervals between calls are calculated, requests
+# per second, and longest interval, seconds.
+_MIN_RATE_PER_S = 0.5
+MAX_CALL_INTERVAL_S = 5.0
+
+# Factors of the interval between calls after a call that the owner rejected
+# because of its load, and after any other.
+_BACKOFF_FACTOR = 2.0
+_SPEED_UP_FACTOR = 0.9
+
+
 @dataclasses.dataclass(slots=True)
 class MemberStats:
     """Load and failures of one member, as seen by this node."""
@@ -68,6 +88,58 @@
     return time
 
 
+def add_call(
+    stats: MemberStats, rate_limit: float, node_count: int, now: float
+) -> None:
+    """Count a call that is sent to a member.
+
+    rate_limit is what its upstream accepts from all nodes, requests per
+    second, infinite without a limit.
+    """
+    stats.outstanding += 1
+    if math.isinf(rate_limit):
+        stats.call_interval_s = 0.0
+        return
+    if not stats.call_interval_s:
+        even_share = max(rate_limit, _MIN_RATE_PER_S) / max(node_count, 1)
+        stats.call_interval_s = min(1 / even_share, MAX_CALL_INTERVAL_S)
+    stats.next_call_at = now + stats.call_interval_s
+
+
+def add_answer(
+    stats: MemberStats,
+    load: messages.LoadReport | None,
+    is_unreachable: bool,
+    is_overloaded: bool,
+    now: float,
+) -> None:
+    """Count the end of a call and store the load report of its answer."""
+    stats.outstanding = max(stats.outstanding - 1, 0)
+    if is_overloaded:
+        stats.call_interval_s = min(
+            stats.call_interval_s * _BACKOFF_FACTOR, MAX_CALL_INTERVAL_S
+        )
+    elif load is not None:
+        stats.call_interval_s *= _SPEED_UP_FACTOR
+    if load is not None:
+        stats.reported = load.queued + load.in_flight
+        stats.limit = max(load.limit, 1)
+        stats.reported_at = now
+    if not is_unreachable:
+        # Without a report, the owner did not answer: the caller gave up or
+        # the call timed out, which is no evidence that the owner works.
+        if load is not None:
+            stats.failures = 0
+            stats.avoided_until = float('-inf')
+    elif now >= stats.avoided_until:
+        # Calls that fail during the avoidance do not count again.
+        stats.failures += 1
+        stats.avoided_until = now + min(
+            INITIAL_AVOIDANCE_S * 2.0 ** min(stats.failures - 1, 10),
+            MAX_AVOIDANCE_S,
+        )
+
+
 def usable_from(stats: MemberStats) -> float:
     """Return the time from which a member gets calls, seconds."""
     if not stats.call_interval_s:
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -23,12 +23,17 @@
 from godwitstall.routing import notices as notices_module
 from godwitstall.routing import spread as spread_module
 from godwitstall.routing import view as view_module
+from godwitstall.routing import zone_balance
 
 _IGNORED_TIMES = metrics.counter(
     'run_times_ignored_total',
     'Reported times of upstreams that are not plausible.',
 )
 
+_ZONE_CALLS = metrics.counter(
+    'zone_calls_total', 'Calls sent to another zone by reason.'
+)
+
 # Load up to which calls stay in the own zone, as a share of the limit. A
 # member that is not full runs a call immediately, so another zone would not
 # run it sooner.
@@ -38,22 +43,6 @@
 # the own zone when it is full or fails calls, as a share of the limit.
 ZONE_LOAD_MARGIN = 0.25
 
-# Initial and longest time for which a failed member is avoided, seconds. A
-# broken link is reconnected within a few hundred milliseconds, and control
-# removes a failed member after 3 s.
-INITIAL_AVOIDANCE_S = 0.2
-MAX_AVOIDANCE_S = 5.0
-
-# Lowest rate limit with which intervals between calls are calculated, requests
-# per second, and longest interval, seconds.
-_MIN_RATE_PER_S = 0.5
-MAX_CALL_INTERVAL_S = 5.0
-
-# Factors of the interval between calls after a call that the owner rejected
-# because of its load, and after any other.
-_BACKOFF_FACTOR = 2.0
-_SPEED_UP_FACTOR = 0.9
-
 
 class Picker:
     """Selects among the members of a service that accept new work."""
@@ -64,6 +53,7 @@
         own_zone: str,
         random: random_module.Random,
         speeds: member_speed.MemberSpeeds | None = None,
+        zones: zone_balance.ZoneBalance | None = None,
     ) -> None:
         self._view = view
         self._own_zone = own_zone
@@ -71,6 +61,8 @@
         self._stats: dict[messages.NodeId, member_load.MemberStats] = {}
         # Speed of the members; None to select by load alone.
         self.speeds = speeds
+        # Load of the zones; None to leave the own zone only when it is full.
+        self.zones = zones
         # Spread of the work that this node sends.
         self.spread = spread_module.Spread()
         # What upstreams have announced in their answers.
@@ -97,15 +89,67 @@
         local, remote = self._candidates(service)
         best_local = self._best_of_two(local, excluded, now)
         if best_local is not None and self._has_capacity(best_local, now):
-            return best_local
+            return self._lend(best_local, remote, excluded, now) or best_local
         best_remote = self._best_of_two(remote, excluded, now)
         if best_local is None or best_remote is None:
             best = best_local or best_remote
             if best is not None or must_be_usable:
+                if best is best_remote is not None:
+                    _ZONE_CALLS.inc(reason='no_local')
                 return best
             return self._first_to_recover(local + remote, excluded)
-        margin = self.score(best_local, now) - self.score(best_remote, now)
-        return best_local if margin <= ZONE_LOAD_MARGIN else best_remote
+        margin = self.score(best_local, now) - self._remote_score(
+            best_remote, now
+        )
+        if margin > ZONE_LOAD_MARGIN and (
+            self.zones is None
+            or self.zones.is_emptier(best_local.service, best_remote.zone, now)
+        ):
+            _ZONE_CALLS.inc(reason='full')
+            return best_remote
+        return self._lend(best_local, remote, excluded, now) or best_local
+
+    def _lend(
+        self,
+        best_local: messages.Member,
+        remote: list[messages.Member],
+        excluded: set[messages.NodeId],
+        now: float,
+    ) -> messages.Member | None:
+        """Return a member of an emptier zone if the own zone is filling up."""
+        service = best_local.service
+        if (
+            self.zones is None
+            or not remote
+            or not self.zones.lends(service, now)
+        ):
+            return None
+        best_remote = self._best_of_two(remote, excluded, now)
+        if (
+            best_remote is None
+            or not self.zones.accepts(service, best_remote.zone, now)
+            or not self._has_capacity(best_remote, now)
+        ):
+            return None
+        margin = self.score(best_local, now) - self._remote_score(
+            best_remote, now
+        )
+        if margin < zone_balance.MARGIN:
+            return None
+        _ZONE_CALLS.inc(reason='lent')
+        return best_remote
+
+    def _remote_score(self, member: messages.Member, now: float) -> float:
+        """Return the score of a member of another zone.
+
+        A member without a recent report is at least as full as its zone, if
+        the load of the zone is known.
+        """
+        score = self.score(member, now)
+        if self.zones is None:
+            return score
+        zone_load = self.zones.load_of(member.service, member.zone, now)
+        return score if zone_load is None else max(score, zone_load)
 
     def node_count(self) -> int:
         """Return the number of nodes in the fleet."""
@@ -113,18 +157,12 @@
 
     def on_dispatch(self, node_id: messages.NodeId, now: float) -> None:
         """Count a call that is sent to a member."""
-        stats = self._stats_of(node_id)
-        stats.outstanding += 1
-        limit = self.notices.limit_of(node_id)
-        if math.isinf(limit):
-            stats.call_interval_s = 0.0
-            return
-        if not stats.call_interval_s:
-            even_share = max(limit, _MIN_RATE_PER_S) / max(
-                self.node_count(), 1
-            )
-            stats.call_interval_s = min(1 / even_share, MAX_CALL_INTERVAL_S)
-        stats.next_call_at = now + stats.call_interval_s
+        member_load.add_call(
+            self._stats_of(node_id),
+            self.notices.limit_of(node_id),
+            self.node_count(),
+            now,
+        )
 
     def on_answer(
         self,
@@ -140,33 +178,17 @@
         call because it is down, is_overloaded that it rejected the call
         because it has too many.
         """
-        stats = self._stats_of(node_id)
-        stats.outstanding = max(stats.outstanding - 1, 0)
-        if is_overloaded:
-            stats.call_interval_s = min(
-                stats.call_interval_s * _BACKOFF_FACTOR, MAX_CALL_INTERVAL_S
-            )
-        elif load is not None:
-            stats.call_interval_s *= _SPEED_UP_FACTOR
-        if load is not None:
-            if self.notices.on_report(node_id, load):
-                self._candidate_cache.clear()
-            stats.reported = load.queued + load.in_flight
-            stats.limit = max(load.limit, 1)
-            stats.reported_at = now
-        if not is_unreachable:
-            # Without a report, the owner did not answer: the caller gave up or
-            # the call timed out, which is no evidence that the owner works.
-            if load is not None:
-                stats.failures = 0
-                stats.avoided_until = float('-inf')
-        elif now >= stats.avoided_until:
-            # Calls that fail during the avoidance do not count again.
-            stats.failures += 1
-            stats.avoided_until = now + min(
-                INITIAL_AVOIDANCE_S * 2.0 ** min(stats.failures - 1, 10),
-                MAX_AVOIDANCE_S,
-            )
+        member_load.add_answer(
+            self._stats_of(node_id), load, is_unreachable, is_overloaded, now
+        )
+        if load is None:
+            return
+        if self.notices.on_report(node_id, load):
+            self._candidate_cache.clear()
+        if self.zones is not None:
+            member = self._view.members.get(node_id)
+            if member is not None:
+                self.zones.on_report(member.service, member.zone, load, now)
 
     def on_outcome(
         self, node_id: messages.NodeId, is_failed: bool, now: float
@@ -372,3 +394,5 @@
                 del self._stats[node_id]
         if self.speeds is not None:
             self.speeds.retain(members)
+        if self.zones is not None:
+            self.zones.retain({m.service for m in members.values()})
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -144,6 +144,9 @@
     metrics_address: str = ''
     # Whether members are selected by their speed as well as by their load.
     weighs_member_speed: bool = False
+    # Whether a zone that fills up sends a share of its calls to emptier ones
+    # before it is full.
+    lends_zone_room: bool = False
     # Whether to forward without limits and with naive retries, as a baseline
     # for benchmarks.
     is_pass_through: bool = False
--- a/tests/routing/test_routing.py
+++ b/tests/routing/test_routing.py
@@ -455,7 +455,7 @@
     for _ in range(9):
         chooser.on_answer(node_id, report, False, 1.0, is_overloaded=True)
     chooser.on_dispatch(node_id, 1.0)
-    just_before = 1.0 + picker.MAX_CALL_INTERVAL_S - 0.1
+    just_before = 1.0 + member_load.MAX_CALL_INTERVAL_S - 0.1
     for _ in range(20):
         chosen = chooser.pick(_SERVICE, set(), just_before)
         assert chosen is not None and chosen.node_id == 'n2'
