--- a/tests/routing/test_member_speed.py
+++ b/tests/routing/test_member_speed.py
@@ -64,8 +64,7 @@
 def test_upstreams_of_three_speeds_are_used_evenly(load: float) -> None:
     """Guards against slow upstreams that are full while fast ones idle.
 
-    Failed first: by load alone, the spread was 1.2 at half of the room and
-    callers waited longer at 0.9.
+    By load alone, the spread is 1.2 at half of the room.
     """
     before = _run(_by_load, load, _upstreams())
     after = _run(_by_speed, load, _upstreams())
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -265,6 +265,16 @@
         'retry_ratio = -0.1',
         ['node.retry_ratio: must be from 0 to 1, not -0.1'],
     ),
+    _Case(
+        'switch that is no truth value',
+        'node',
+        '',
+        "weighs_member_speed = 'yes'\nlends_zone_room = 1",
+        [
+            "node.weighs_member_speed: must be true or false, not 'yes'",
+            'node.lends_zone_room: must be true or false, not 1',
+        ],
+    ),
     _Case(
         'not a number',
         'node',
