--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -26,8 +26,10 @@
 from godwitstall.node.upstreams import upstream as upstream_module
 from godwitstall.node.upstreams import upstream_answer
 from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import member_speed
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
+from godwitstall.routing import zone_balance
 from godwitstall import settings
 from godwitstall import signals
 from godwitstall import supervision
@@ -112,7 +114,17 @@
         self.forwarder = forward.Forwarder(identity, local_host)
         self.relay = relay.Relay(
             options,
-            picker_module.Picker(self.view, options.zone, random.Random()),
+            picker_module.Picker(
+                self.view,
+                options.zone,
+                random.Random(),
+                member_speed.MemberSpeeds()
+                if options.weighs_member_speed
+                else None,
+                zone_balance.ZoneBalance(options.zone, random.Random())
+                if options.lends_zone_room
+                else None,
+            ),
             self.forwarder,
             self.owner,
             _MESH_RETRY_POLICY if dialect is not None else None,
