Spread calls over cold members that warm up together

Cause: after a loss of power all members of a service are cold and their intervals end within a millisecond of each other, so that nodes sent each call to the one whose interval ended first. In tests/node/test_cold_upstreams.py a cold upstream got 0 to 6 requests in half a second instead of 5.

Change: when no member is usable, a random one of the cold members is tried. A report does not repeat the bound that on_dispatch() already sets.

--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -130,7 +130,7 @@
             best = best_local or best_remote
             if best is not None or must_be_usable:
                 return best
-            return self._first_to_recover(local + remote, excluded)
+            return self._first_to_recover(local + remote, excluded, now)
         margin = self.score(best_local, now) - self.score(best_remote, now)
         return best_local if margin <= ZONE_LOAD_MARGIN else best_remote
 
@@ -319,12 +319,28 @@
         return stats is None or _usable_from(stats) <= now
 
     def _first_to_recover(
-        self, members: list[messages.Member], excluded: set[messages.NodeId]
+        self,
+        members: list[messages.Member],
+        excluded: set[messages.NodeId],
+        now: float,
     ) -> messages.Member | None:
-        """Return the avoided member whose avoidance ends first."""
+        """Return the avoided member whose avoidance ends first.
+
+        After a loss of power, cold members warm up at almost the same time. A
+        random one of them is returned, or all nodes would send to the first.
+        """
+
+        def recovery(member: messages.Member) -> tuple[float, float]:
+            stats = self._stats_of(member.node_id)
+            is_cold = now < stats.cold_until
+            usable_from = (
+                stats.avoided_until if is_cold else _usable_from(stats)
+            )
+            return max(usable_from, now), self._random.random()
+
         return min(
             (member for member in members if member.node_id not in excluded),
-            key=lambda member: _usable_from(self._stats_of(member.node_id)),
+            key=recovery,
             default=None,
         )
 
@@ -364,7 +380,6 @@
     if load.cold_ms and load.rate_limit is not None:
         stats.cold_until = now + load.cold_ms / 1000
         stats.cold_rate = load.rate_limit
-        stats.next_call_at = min(stats.next_call_at, stats.cold_until)
     elif was_cold:
         stats.cold_until = float('-inf')
         stats.call_interval_s = 0.0
