--- a/godwitstall/routing/member_load.py
+++ b/godwitstall/routing/member_load.py
@@ -198,7 +198,6 @@
     if load.cold_ms and load.rate_limit is not None:
         stats.cold_until = now + load.cold_ms / 1000
         stats.cold_rate = load.rate_limit
-        stats.next_call_at = min(stats.next_call_at, stats.cold_until)
     elif was_cold:
         stats.cold_until = float('-inf')
         stats.call_interval_s = 0.0
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -102,7 +102,7 @@
                 if best is best_remote is not None:
                     _ZONE_CALLS.inc(reason='no_local')
                 return best
-            return self._first_to_recover(local + remote, excluded)
+            return self._first_to_recover(local + remote, excluded, now)
         margin = self.score(best_local, now) - self._remote_score(
             best_remote, now
         )
@@ -372,14 +372,30 @@
         return stats is None or member_load.usable_from(stats) <= now
 
     def _first_to_recover(
-        self, members: list[messages.Member], excluded: set[messages.NodeId]
+        self,
+        members: list[messages.Member],
+        excluded: set[messages.NodeId],
+        now: float,
     ) -> messages.Member | None:
-        """Return the avoided member whose avoidance ends first."""
+        """Return the avoided member whose avoidance ends first.
+
+        After a loss of power, cold members warm up at almost the same time. A
+        random one of them is returned, or all nodes would send to the first.
+        """
+
+        def recovery(member: messages.Member) -> tuple[float, float]:
+            stats = self._stats_of(member.node_id)
+            is_cold = now < stats.cold_until
+            usable_from = (
+                stats.avoided_until
+                if is_cold
+                else member_load.usable_from(stats)
+            )
+            return max(usable_from, now), self._random.random()
+
         return min(
             (member for member in members if member.node_id not in excluded),
-            key=lambda member: member_load.usable_from(
-                self._stats_of(member.node_id)
-            ),
+            key=recovery,
             default=None,
         )
 
