Trust a fresh report of a remote member before its zone's average

Cause: with lending, a full zone judged a remote member by the average load of its zone even if the member had just reported room. In zones of one member that cost refusals.

Change: a report of up to 0.1 s decides by itself. What a sender knew at a choice is a plain tuple that is described only for a failed try.

The test of a fresh report failed first.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -12,9 +12,11 @@
 from godwitstall.limits import fair_queue
 from godwitstall import messages
 from godwitstall.rates import allowance
+from godwitstall.routing import member_speed
 from godwitstall.routing import picker
 from godwitstall.routing import table
 from godwitstall.routing import view
+from godwitstall.routing import zone_balance
 
 _CALL_COUNT = 200_000
 
@@ -31,9 +33,12 @@
     print(f'{name:34} {cpu_s / _CALL_COUNT * 1e6:.2f} us')
 
 
-def _new_picker() -> tuple[view.View, picker.Picker]:
+def _new_picker(
+    speeds: member_speed.MemberSpeeds | None = None,
+    zones: zone_balance.ZoneBalance | None = None,
+) -> tuple[view.View, picker.Picker]:
     state = view.View()
-    member_picker = picker.Picker(state, 'z0', random.Random(1))
+    member_picker = picker.Picker(state, 'z0', random.Random(1), speeds, zones)
     members = [
         messages.Member(
             messages.NodeId(f'n{i}'),
@@ -49,6 +54,7 @@
     for member in members:
         member_picker.on_dispatch(member.node_id, 100.0)
         member_picker.on_answer(member.node_id, report, False, 100.0)
+        member_picker.on_run_time(member.node_id, 'r', 20.0, 25.0, 100.0)
     return state, member_picker
 
 
@@ -95,6 +101,26 @@
         'pick',
         lambda i: member_picker.pick(services[i % 110], excluded, 100.1),
     )
+    speeds = member_speed.MemberSpeeds()
+    zones = zone_balance.ZoneBalance('z0', random.Random(1))
+    _, speed_picker = _new_picker(speeds, zones)
+    _print_cost(
+        'pick by speed, with lending',
+        lambda i: speed_picker.pick(services[i % 110], excluded, 100.1),
+    )
+    node_id = messages.NodeId('n1')
+    _print_cost(
+        'time of an answer',
+        lambda i: speed_picker.on_run_time(
+            node_id, 'r', 20.0, 25.0, 100.1 + i * 1e-3
+        ),
+    )
+    member = speed_picker.pick(services[0], excluded, 100.1)
+    assert member is not None
+    _print_cost(
+        'snapshot of a choice',
+        lambda i: speed_picker.snapshot(member.node_id),
+    )
 
 
 if __name__ == '__main__':
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -22,7 +22,7 @@
 from godwitstall.node import answers
 from godwitstall.node import dispatch
 from godwitstall.node.peers import forward
-from godwitstall.routing import figures as figures_module
+from godwitstall.routing import figures
 from godwitstall.routing import picker as picker_module
 from godwitstall import settings
 
@@ -189,7 +189,8 @@
                 break
             call.attempts = min(max(1, route.dispatch_attempts), attempts_left)
             previous = answer
-            figures = self.picker.figures(member, clock.recent())
+            chosen_at = clock.recent()
+            snapshot = self.picker.snapshot(member.node_id)
             answer = await self._send_once(member, call, deadline)
             if previous is not None and _keeps_previous(answer, previous):
                 answer = previous
@@ -201,7 +202,7 @@
                 attempts_left -= 1
             else:
                 attempts_left -= min(attempts_left, answer.attempts_used)
-            self._log_failed_try(call, member, answer, figures)
+            self._log_failed_try(call, member, answer, snapshot, chosen_at)
             excluded.add(member.node_id)
             now = clock.recent()
             if not self._may_retry(answer, call) or attempts_left < 1:
@@ -228,7 +229,8 @@
         call: messages.Call,
         member: messages.Member,
         answer: messages.Answer,
-        figures: figures_module.ChoiceFigures,
+        snapshot: figures.Snapshot,
+        chosen_at: float,
     ) -> None:
         """Log the try unless it succeeded."""
         if answer.kind is errors.ErrorKind.NONE and (
@@ -251,7 +253,7 @@
             owner_limit=answer.load.limit,
             owner_rate_limit=_rate_limit(answer),
             deadline_ms=call.deadline_ms,
-            **figures.as_fields(),
+            **self.picker.describe_choice(member, snapshot, chosen_at),
         )
 
     def _may_retry(self, answer: messages.Answer, call: messages.Call) -> bool:
--- a/godwitstall/routing/figures.py
+++ b/godwitstall/routing/figures.py
@@ -1,45 +1,51 @@
 """Figures behind the choice of a member, for the log of a failed call.
 
-They are taken at the choice, since the answer of the call changes them.
+A snapshot is taken at the choice, since the answer of the call changes the
+statistics. It is a plain tuple because it is taken for each call and read for
+few.
 
-Example: fields = figures.as_fields()
+Example: fields = figures.describe('z1', snapshot, 1.0, now - 0.2, now)
 """
 
-import dataclasses
 import math
 import typing
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ChoiceFigures:
-    """What this node knew of a member when it selected the member."""
-
-    # Zone of the member.
-    zone: str
-    # Calls of this node that the member had not answered.
-    outstanding: int
-    # Queued and running requests in its last report, and the age of that
-    # report, seconds.
-    reported: int
-    report_age_s: float
-    # Load and failed share.
-    score: float
-    # Time of its requests against the average, and the age of the last one,
-    # seconds; 1 and infinite if unknown or not weighed.
-    speed_ratio: float
-    speed_age_s: float
-
-    def as_fields(self) -> dict[str, typing.Any]:
-        """Return the fields of a log line; an unknown age is None."""
-        return {
-            'owner_zone': self.zone,
-            'chosen_outstanding': self.outstanding,
-            'chosen_reported': self.reported,
-            'chosen_report_age_ms': _age_ms(self.report_age_s),
-            'chosen_score': round(self.score, 3),
-            'chosen_speed_ratio': round(self.speed_ratio, 3),
-            'chosen_speed_age_ms': _age_ms(self.speed_age_s),
-        }
+from godwitstall.routing import member_load
+
+# Calls not answered, load in the last report, limit, time of that report,
+# failed share and time of its last update, as in member_load.MemberStats.
+Snapshot = tuple[int, int, int, float, float, float]
+
+
+def describe(
+    zone: str,
+    snapshot: Snapshot,
+    speed_ratio: float,
+    speed_updated_at: float,
+    chosen_at: float,
+) -> dict[str, typing.Any]:
+    """Return the fields of a log line; an age is None if there is none."""
+    outstanding, reported, limit, reported_at, share, failed_at = snapshot
+    stats = member_load.MemberStats(
+        outstanding,
+        reported,
+        limit,
+        reported_at,
+        failed_share=share,
+        failed_at=failed_at,
+    )
+    score = member_load.load_share(
+        stats, chosen_at
+    ) + member_load.failed_share(stats, chosen_at)
+    return {
+        'owner_zone': zone,
+        'chosen_outstanding': outstanding,
+        'chosen_reported': reported,
+        'chosen_report_age_ms': _age_ms(chosen_at - reported_at),
+        'chosen_score': round(score, 3),
+        'chosen_speed_ratio': round(speed_ratio, 3),
+        'chosen_speed_age_ms': _age_ms(chosen_at - speed_updated_at),
+    }
 
 
 def _age_ms(age_s: float) -> int | None:
--- a/godwitstall/routing/member_speed.py
+++ b/godwitstall/routing/member_speed.py
@@ -136,10 +136,10 @@
         for node_id in [n for n in self._members if n not in node_ids]:
             del self._members[node_id]
 
-    def age_s(self, node_id: messages.NodeId, now: float) -> float:
-        """Return the age of the last time; infinite if there is none."""
+    def updated_at(self, node_id: messages.NodeId) -> float:
+        """Return when a member last answered; minus infinity if never."""
         speed = self._members.get(node_id)
-        return math.inf if speed is None else now - speed.updated_at
+        return -math.inf if speed is None else speed.updated_at
 
     def dump(self) -> dict[messages.NodeId, dict[str, float]]:
         """Return what is known of each member, for /state."""
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -17,7 +17,7 @@
 
 from godwitstall import messages
 from godwitstall import metrics
-from godwitstall.routing import figures as figures_module
+from godwitstall.routing import figures
 from godwitstall.routing import member_load
 from godwitstall.routing import member_speed
 from godwitstall.routing import notices as notices_module
@@ -44,6 +44,11 @@
 ZONE_LOAD_MARGIN = 0.25
 
 
+# Age up to which a load report tells more about a member than the average of
+# its zone, seconds. Within it, few of the requests that it counted have ended.
+FRESH_REPORT_S = 0.1
+
+
 class Picker:
     """Selects among the members of a service that accept new work."""
 
@@ -103,6 +108,7 @@
         )
         if margin > ZONE_LOAD_MARGIN and (
             self.zones is None
+            or self._report_age_s(best_remote, now) < FRESH_REPORT_S
             or self.zones.is_emptier(best_local.service, best_remote.zone, now)
         ):
             _ZONE_CALLS.inc(reason='full')
@@ -142,15 +148,22 @@
     def _remote_score(self, member: messages.Member, now: float) -> float:
         """Return the score of a member of another zone.
 
-        A member without a recent report is at least as full as its zone, if
+        A member without a fresh report is at least as full as its zone, if
         the load of the zone is known.
         """
         score = self.score(member, now)
-        if self.zones is None:
+        if (
+            self.zones is None
+            or self._report_age_s(member, now) < FRESH_REPORT_S
+        ):
             return score
         zone_load = self.zones.load_of(member.service, member.zone, now)
         return score if zone_load is None else max(score, zone_load)
 
+    def _report_age_s(self, member: messages.Member, now: float) -> float:
+        stats = self._stats.get(member.node_id)
+        return math.inf if stats is None else now - stats.reported_at
+
     def node_count(self) -> int:
         """Return the number of nodes in the fleet."""
         return len(self._view.members)
@@ -267,23 +280,31 @@
             for node_id, stats in self._stats.items()
         }
 
-    def figures(
-        self, member: messages.Member, now: float
-    ) -> figures_module.ChoiceFigures:
+    def snapshot(self, node_id: messages.NodeId) -> figures.Snapshot:
         """Return what is known of a member that has just been selected."""
-        stats = self._stats_of(member.node_id)
-        ratio, ratio_age_s = 1.0, math.inf
-        if self.speeds is not None:
-            ratio = self.speeds.ratio(member.node_id, now)
-            ratio_age_s = self.speeds.age_s(member.node_id, now)
-        return figures_module.ChoiceFigures(
-            member.zone,
+        stats = self._stats_of(node_id)
+        return (
             stats.outstanding,
             stats.reported,
-            now - stats.reported_at,
-            self.score(member, now),
-            ratio,
-            ratio_age_s,
+            stats.limit,
+            stats.reported_at,
+            stats.failed_share,
+            stats.failed_at,
+        )
+
+    def describe_choice(
+        self,
+        member: messages.Member,
+        snapshot: figures.Snapshot,
+        chosen_at: float,
+    ) -> dict[str, typing.Any]:
+        """Return the figures behind the choice of a member, for logs."""
+        ratio, answered_at = 1.0, -math.inf
+        if self.speeds is not None:
+            ratio = self.speeds.ratio(member.node_id, chosen_at)
+            answered_at = self.speeds.updated_at(member.node_id)
+        return figures.describe(
+            member.zone, snapshot, ratio, answered_at, chosen_at
         )
 
     def _candidates(
--- a/tests/routing/test_zone_balance.py
+++ b/tests/routing/test_zone_balance.py
@@ -123,6 +123,52 @@
     assert _exchanged_share(after) < 0.5 * _exchanged_share(before)
 
 
+def _remote_choice(report_age_s: float) -> str:
+    """Return the zone that a full zone selects.
+
+    The other zone has been full for a second, and its only member reports
+    that it is empty.
+    """
+    view = view_module.View()
+    picker = _with_lending(view, 'a', random.Random(1))
+    members = [
+        messages.Member(
+            messages.NodeId(f'n-{zone}'),
+            service=_SERVICE,
+            zone=zone,
+            state=messages.UpstreamState.READY,
+            slots=100,
+        )
+        for zone in ('a', 'b')
+    ]
+    view.apply(messages.StateUpdate(1, True, members=members))
+    for i in range(21):
+        for member in members:
+            picker.on_answer(member.node_id, _report(100), False, i * 0.05)
+    picker.on_answer(members[1].node_id, _report(10), False, 1.0)
+    if report_age_s:
+        picker.on_answer(
+            members[0].node_id, _report(100), False, 1.0 + report_age_s
+        )
+    chosen = picker.pick(_SERVICE, set(), 1.0 + report_age_s)
+    assert chosen is not None
+    return chosen.zone
+
+
+def test_a_fresh_report_tells_more_than_the_average_of_the_zone() -> None:
+    """Guards against refusals while a member of another zone has room.
+
+    Failed first: the average of the zone alone decided, and in zones of one
+    member the refused share rose by 0.005.
+    """
+    assert _remote_choice(0.0) == 'b'
+
+
+def test_an_older_report_does_not_outweigh_its_zone() -> None:
+    """Guards against senders that all follow one report of a free member."""
+    assert _remote_choice(0.5) == 'a'
+
+
 def _report(load: int) -> messages.LoadReport:
     return messages.LoadReport(load, 0, 100, messages.UpstreamState.READY, 1)
 
