Bound what the links of other processes hold, together

Cause: frames were bounded one by one, handshakes and links not at all in number, and calls of other nodes were queued with their bodies. Links have max_peer_connections, by default a quarter of the descriptors of a node and half of control's; the oldest handshakes are closed first, then links silent for 5 s without a call. Half-received messages, on nodes also unread answers, have 32 MiB together; bodies of calls 32 MiB, above which a call is refused with memory_full, not run. tests/base/test_link.py names the new module.

--- a/godwitstall/control/service.py
+++ b/godwitstall/control/service.py
@@ -12,6 +12,7 @@
 
 from godwitstall import clock
 from godwitstall import codec
+from godwitstall import connection_limit
 from godwitstall.consensus import replica as replica_module
 from godwitstall.control import barrier as barrier_module
 from godwitstall.control import leadership
@@ -19,6 +20,7 @@
 from godwitstall.control import sessions as sessions_module
 from godwitstall import errors
 from godwitstall import link as link_module
+from godwitstall import link_server
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -50,7 +52,7 @@
 ]
 
 
-class Service(link_module.LinkServer):
+class Service(link_server.LinkServer):
     """Request handling of one control process."""
 
     def __init__(
@@ -60,7 +62,13 @@
         machine: machine_module.Machine,
         replica: replica_module.Replica,
     ) -> None:
-        super().__init__(identity)
+        super().__init__(
+            identity,
+            connection_limit.descriptor_share(
+                options.max_peer_connections,
+                connection_limit.CONTROL_PEER_SHARE,
+            ),
+        )
         self.options = options
         self.machine = machine
         self.replica = replica
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -10,7 +10,6 @@
     reply = await link.request(messages.BarrierRequest(), timeout_s=1.0)
 """
 
-import abc
 import asyncio
 import collections.abc
 import contextlib
@@ -21,9 +20,11 @@
 import secrets
 import typing
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import codec
 from godwitstall import errors
+from godwitstall import log_limit
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -37,16 +38,9 @@
 _NONCE_BYTES = 16
 _READ_BYTES = 64 * 1024
 
-# Connections that the kernel queues until they are accepted. All nodes of a
-# zone may reconnect at once.
-_BACKLOG = 1024
-
 # The connection is closed if the handshake takes longer.
 HANDSHAKE_TIMEOUT_S = 2.0
 
-# Interval at which a server checks whether its peers have closed their links.
-_END_POLL_INTERVAL_S = 0.01
-
 # Longest frame of the handshake. A peer that is not authenticated yet cannot
 # make this process buffer more.
 _MAX_HANDSHAKE_FRAME_BYTES = 4096
@@ -55,6 +49,8 @@
 # that reads slowly would otherwise exhaust the memory of the sender.
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
+_bad_messages = log_limit.LogLimit()
+
 _REPLY_TYPES = (
     messages.Error,
     messages.HeartbeatReply,
@@ -126,6 +122,12 @@
         # Bytes sent and received, for statistics.
         self.bytes_sent = 0
         self.bytes_received = 0
+        # When bytes were last received, seconds.
+        self.received_at = clock.recent()
+        # Bounds what the links of a server hold; None on other links.
+        self.budget: byte_budget.ByteBudget | None = None
+        # Whether the send buffer counts in it.
+        self.counts_unsent = False
         self._seq_numbers = itertools.count(1)
         self._buffer = bytearray()
         self._decoded: list[messages.Message] = []
@@ -158,6 +160,8 @@
         frame = len(data).to_bytes(_LENGTH_BYTES, 'big') + data
         self.bytes_sent += len(frame)
         self.writer.write(frame)
+        if self.budget is not None and self.counts_unsent:
+            self.budget.add(len(frame))
 
     async def request(
         self, message: typing.Any, timeout_s: float
@@ -219,10 +223,33 @@
             if not data:
                 self.close()
                 raise errors.LinkError(errors.ErrorKind.PEER_LOST)
-            self.bytes_received += len(data)
+            self._count_received(data)
             self._buffer += data
         return self._decoded.pop(0)
 
+    def _count_received(self, data: bytes) -> None:
+        self.bytes_received += len(data)
+        self.received_at = clock.recent()
+        if self.budget is not None:
+            self.budget.add(len(data))
+
+    # Methods for the budget of the server.
+
+    @property
+    def moved_at(self) -> float:
+        """Time at which bytes were last received, seconds."""
+        return self.received_at
+
+    def held_bytes(self) -> int:
+        """Return the size of what is half received, and perhaps unsent."""
+        unsent_bytes = self.unsent_bytes if self.counts_unsent else 0
+        return len(self._buffer) + unsent_bytes
+
+    def release_bytes(self) -> None:
+        """Close the link; half a message cannot be refused."""
+        self._buffer.clear()
+        self.abort()
+
     def _decode_frames(self) -> None:
         start = 0
         end = len(self._buffer)
@@ -261,7 +288,7 @@
                 await handler(message)
         except errors.LinkError as e:
             if e.kind is errors.ErrorKind.BAD_MESSAGE:
-                _LOG.warning('Invalid message from %s: %s', self.peer_id, e)
+                _log_bad_message(self.peer_id, e)
         finally:
             self.close()
 
@@ -291,7 +318,7 @@
 
         Errors: LinkError of kind BAD_MESSAGE for an invalid frame or message.
         """
-        self.bytes_received += len(data)
+        self._count_received(data)
         self._buffer += data
         self._decode_frames()
         decoded, self._decoded = self._decoded, []
@@ -335,6 +362,16 @@
                 )
 
 
+def _log_bad_message(peer_id: str, error: errors.LinkError) -> None:
+    if _bad_messages.allows():
+        _LOG.warning(
+            'Invalid message from %s: %s%s',
+            peer_id,
+            error,
+            _bad_messages.suffix(),
+        )
+
+
 class _LinkProtocol(asyncio.Protocol):
     """Passes received bytes to a link, without a stream reader."""
 
@@ -352,7 +389,7 @@
             self.link.feed_data(data, self.handler)
         except errors.LinkError as e:
             _BAD_MESSAGES.inc()
-            _LOG.warning('Invalid message from %s: %s', self.link.peer_id, e)
+            _log_bad_message(self.link.peer_id, e)
             self.link.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -474,75 +511,3 @@
     link.peer_role = hello.role
     link.max_frame_bytes = codec.MAX_FRAME_BYTES
     return link
-
-
-class LinkServer(abc.ABC):
-    """Base of the servers that accept links, in nodes and in control."""
-
-    def __init__(self, identity: Identity) -> None:
-        self.identity = identity
-        self.server: asyncio.Server | None = None
-        # Open links.
-        self.links: set[Link] = set()
-        # Whether no link is served any more.
-        self.is_closed = False
-
-    @abc.abstractmethod
-    async def serve(self, link: Link) -> None:
-        """Read one link until it closes."""
-
-    def on_end(self, link: Link) -> None:
-        """Send the last messages of a link; nothing is read after this."""
-
-    async def listen(self, address: str) -> None:
-        """Listen on 'host:port'.
-
-        Errors: OSError when the address cannot be used.
-        """
-        host, port = split_address(address)
-        self.server = await asyncio.start_server(
-            self._accept, host, port, backlog=_BACKLOG
-        )
-
-    async def _accept(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            link = await accept(reader, writer, self.identity)
-        except errors.LinkError as e:
-            _LOG.warning('Rejected an incoming link: %s', e)
-            return
-        if self.is_closed:
-            # The handshake has ended after close_links(). The peer would
-            # never connect to the next server at this address.
-            self.on_end(link)
-            link.close()
-            return
-        self.links.add(link)
-        try:
-            await self.serve(link)
-        finally:
-            self.links.discard(link)
-
-    async def end_links(self, timeout_s: float) -> None:
-        """Stop listening, and end all links.
-
-        Returns when the peers have closed them, at the latest after timeout_s.
-        """
-        self.is_closed = True
-        if self.server is not None:
-            self.server.close()
-        for link in list(self.links):
-            self.on_end(link)
-            link.end()
-        deadline = clock.now() + timeout_s
-        while self.links and clock.now() < deadline:
-            await asyncio.sleep(_END_POLL_INTERVAL_S)
-
-    def close_links(self) -> None:
-        """Stop listening and close all links, also those of handshakes."""
-        self.is_closed = True
-        if self.server is not None:
-            self.server.close()
-        for link in list(self.links):
-            link.close()
--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -117,7 +117,9 @@
             self.owner,
             _MESH_RETRY_POLICY if dialect is not None else None,
         )
-        self.peer_server = peer_server.PeerServer(identity, self.owner)
+        self.peer_server = peer_server.PeerServer(
+            identity, self.owner, options.max_peer_connections
+        )
         self.tasks: list[asyncio.Task[None]] = []
         # Set by a signal handler, or by the stop itself.
         self.stop_requested = signals.StopRequest()
--- a/godwitstall/node/peers/peer_server.py
+++ b/godwitstall/node/peers/peer_server.py
@@ -8,12 +8,22 @@
 
 from godwitstall import errors
 from godwitstall import link as link_module
+from godwitstall import link_server
 from godwitstall import logs
 from godwitstall import messages
+from godwitstall import metrics
 from godwitstall.node import answers
 from godwitstall.node import dispatch
 
 _LOG = logs.get('peers')
+_CALLS_REFUSED = metrics.counter(
+    'peer_calls_refused_total',
+    'Calls of other nodes refused because others take the memory.',
+)
+
+# Maximum size of the bodies of all calls of other nodes that have not been
+# answered, bytes.
+MAX_CALL_BYTES = 32 * 1024 * 1024
 
 TakeHandler = collections.abc.Callable[
     [messages.Take], collections.abc.Awaitable[messages.TakeReply]
@@ -31,18 +41,24 @@
     running: dict[int, messages.Call] = dataclasses.field(default_factory=dict)
 
 
-class PeerServer(link_module.LinkServer):
+class PeerServer(link_server.LinkServer):
     """Accepts links from other nodes."""
 
     def __init__(
-        self, identity: link_module.Identity, owner: dispatch.Owner
+        self,
+        identity: link_module.Identity,
+        owner: dispatch.Owner,
+        max_connections: int = 0,
     ) -> None:
-        super().__init__(identity)
+        super().__init__(identity, max_connections)
+        self.counts_unsent = True
         self.owner = owner
         # Handles token requests of nodes that cannot reach the ledger; None if
         # this node does not serve token requests.
         self.on_take: TakeHandler | None = None
         self.calls: dict[link_module.Link, _LinkCalls] = {}
+        # Size of the bodies of all calls that have not been answered, bytes.
+        self.held_call_bytes = 0
 
     async def serve(self, link: link_module.Link) -> None:
         """Serve the requests of one link until it closes."""
@@ -57,6 +73,11 @@
             for task in calls.tasks.values():
                 task.cancel()
 
+    def is_in_use(self, link: link_module.Link) -> bool:
+        """Return whether calls of a link have not been answered."""
+        calls = self.calls.get(link)
+        return calls is not None and bool(calls.tasks)
+
     def on_end(self, link: link_module.Link) -> None:
         """Tell the entry node which of its calls may have been run.
 
@@ -84,6 +105,14 @@
     ) -> None:
         tasks = calls.tasks
         match message:
+            case messages.Call() if self._is_full(message):
+                _CALLS_REFUSED.inc()
+                answer = answers.of_error(
+                    errors.RequestError(errors.ErrorKind.MEMORY_FULL)
+                )
+                answer.call_id = message.call_id
+                with contextlib.suppress(errors.LinkError):
+                    link.send(answer)
             case messages.Call():
                 task = asyncio.create_task(
                     self._handle_call(link, calls, message)
@@ -112,6 +141,11 @@
             case _:
                 _LOG.warning('Unexpected message %s.', type(message).__name__)
 
+    def _is_full(self, call: messages.Call) -> bool:
+        """Return whether a call exceeds the memory for those of all peers."""
+        held_bytes = self.held_call_bytes + len(call.body)
+        return bool(self.held_call_bytes) and held_bytes > MAX_CALL_BYTES
+
     async def _handle_call(
         self,
         link: link_module.Link,
@@ -119,9 +153,11 @@
         call: messages.Call,
     ) -> None:
         calls.running[call.call_id] = call
+        self.held_call_bytes += len(call.body)
         try:
             answer = await self.owner.handle(call)
         finally:
+            self.held_call_bytes -= len(call.body)
             calls.running.pop(call.call_id, None)
         try:
             link.send(answer)
--- a/tests/base/test_link.py
+++ b/tests/base/test_link.py
@@ -9,6 +9,7 @@
 from godwitstall import codec
 from godwitstall import errors
 from godwitstall import link as links
+from godwitstall import link_server
 from godwitstall import messages
 
 _SECRET = b'secret of the test fleet'
@@ -275,7 +276,7 @@
     asyncio.run(connect())
 
 
-class _LinkServer(links.LinkServer):
+class _LinkServer(link_server.LinkServer):
     """Records the links that it serves."""
 
     def __init__(self) -> None:
