Drop the traceback of an error that becomes an answer

Cause: the future of a queued call holds its error, the error its traceback, and the frames hold the future and the call with its body. Only a late collection frees such a circle, so 576 calls with 512 KiB made a node stay at 249 MB after all of them had been answered, with every budget in force. Change: answers.of_error and the dispatcher drop the traceback.

--- a/godwitstall/node/answers.py
+++ b/godwitstall/node/answers.py
@@ -20,7 +20,13 @@
 
 
 def of_error(error: errors.RequestError) -> messages.Answer:
-    """Return the answer to a call that failed with an error."""
+    """Return the answer to a call that failed with an error.
+
+    The traceback of the error is dropped. Its frames hold the call with its
+    body, and often a future that holds the error: such a circle is freed only
+    by a late collection, however much memory the bodies take.
+    """
+    error.__traceback__ = None
     rule = errors.ANSWERS[error.kind]
     retry_after_ms = error.retry_after_ms
     if not retry_after_ms:
--- a/godwitstall/node/dispatcher.py
+++ b/godwitstall/node/dispatcher.py
@@ -181,6 +181,8 @@
                 call.request_id,
             )
         except errors.RequestError as e:
+            # As in answers.of_error().
+            e.__traceback__ = None
             is_connection_refused = isinstance(
                 e.__cause__, ConnectionRefusedError
             )
