--- a/godwitstall/node/dispatcher.py
+++ b/godwitstall/node/dispatcher.py
@@ -185,6 +185,8 @@
                 self.upstream.cold.check_write,
             )
         except errors.RequestError as e:
+            # As in answers.of_error().
+            e.__traceback__ = None
             is_connection_refused = isinstance(
                 e.__cause__, ConnectionRefusedError
             )
