Admit chains by the room of the services that they need

Cause: a service deep in a call graph refuses calls of chains that have already run further up, and the first node of the chain knows nothing of it.

Change: owners measure the demand for their slots by level and tell a mark with their answers; nodes relay the marks of services below with the learned fan-out of each route; the gateway refuses a new chain of a level without room, divides a level among workspaces, and spreads the time to come back. Rejections by the upstream and services without members count as a lack of room. Call.admitted_share lets owners count refused chains as demand, so that a mark does not depend on earlier ones.

--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -26,6 +26,7 @@
 from godwitstall.node.upstreams import upstream as upstream_module
 from godwitstall.node.upstreams import upstream_answer
 from godwitstall.rates import allowance as allowance_module
+from godwitstall.routing import chain_rooms
 from godwitstall.routing import picker as picker_module
 from godwitstall.routing import view as view_module
 from godwitstall import settings
@@ -94,6 +95,7 @@
             framing,
         )
         self.membership.upstream = self.upstream
+        self.rooms = chain_rooms.ChainRooms()
         self.claimer = claims.Claimer(options.node_id, self.session)
         self.owner = dispatch.Owner(
             options,
@@ -105,6 +107,7 @@
                 options.node_id, self.upstream, self.session
             ),
             dialect,
+            self.rooms,
         )
         self.admission = admission_module.Admission(
             self.view, self.session, self.allowance, self.owner.planned_stop
@@ -116,6 +119,7 @@
             self.forwarder,
             self.owner,
             _MESH_RETRY_POLICY if dialect is not None else None,
+            self.rooms,
         )
         self.peer_server = peer_server.PeerServer(identity, self.owner)
         self.tasks: list[asyncio.Task[None]] = []
--- a/godwitstall/node/callers/gateway.py
+++ b/godwitstall/node/callers/gateway.py
@@ -21,6 +21,7 @@
 from godwitstall import metrics
 from godwitstall.node import answers
 from godwitstall.node.callers import admission as admission_module
+from godwitstall.node.callers import chain_admission as chains
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node.peers import relay
 from godwitstall.node.requests import context
@@ -58,6 +59,7 @@
         admission: admission_module.Admission,
         contexts: context.Contexts,
         sender: relay.Relay,
+        chain_admission: chains.ChainAdmission,
     ) -> None:
         self.options = options
         self.dialect = dialect
@@ -66,6 +68,7 @@
         self.admission = admission
         self.contexts = contexts
         self.sender = sender
+        self.chain_admission = chain_admission
         self.random = random.Random()
         # Headers that are not forwarded from a caller to an upstream.
         self.reserved_headers = frozenset(
@@ -83,11 +86,14 @@
     ) -> http_messages.Response:
         """Return the response to one request; errors are responses too."""
         route_name = ''
+        decision_fields: dict[str, typing.Any] = {}
         try:
             route = self._match_route(request)
             route_name = route.name
             answer = await self._admit(request, route)
         except errors.RequestError as e:
+            if isinstance(e, chains.ChainRefusedError):
+                decision_fields = e.refusal.fields()
             answer = answers.of_error(e)
         except asyncio.CancelledError as e:
             self._log_cut(request, route_name, e)
@@ -98,7 +104,7 @@
             route=route_name,
             kind=answer.kind.label,
         )
-        self._log_request(request, route_name, answer)
+        self._log_request(request, route_name, answer, decision_fields)
         return self._build_response(answer)
 
     def respond_to_error(
@@ -114,6 +120,7 @@
         request: http_messages.Request,
         route_name: str,
         answer: messages.Answer,
+        decision_fields: dict[str, typing.Any],
     ) -> None:
         """Log the result of a request and the state that it was based on."""
         is_routine = answer.kind is errors.ErrorKind.NONE and (
@@ -139,6 +146,7 @@
             configuration=self.view.number,
             state_index=self.view.index,
             lease_left_ms=round((self.session.lease_until - now) * 1000),
+            **decision_fields,
         )
 
     def _log_cut(
@@ -187,11 +195,15 @@
         if workspace is not None and workspace.rate:
             await self.admission.take_token(call.workspace, deadline)
         if parent is None:
+            call.admitted_share = self.chain_admission.admit(
+                call, clock.recent()
+            )
             return await self._send(call, route, deadline)
         call.is_onward = True
         call.workspace = parent.workspace
         call.order = parent.order
         call.priority = parent.priority
+        call.admitted_share = parent.admitted_share
         return await self._send_onward(call, route, deadline, parent)
 
     async def _send_onward(
@@ -202,6 +214,7 @@
         parent: context.RequestContext,
     ) -> messages.Answer:
         parent.start_onward_call(clock.recent())
+        parent.count_onward_leg(call.route_name, call.service)
         is_served = False
         try:
             answer = await self._send(call, route, deadline)
--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -21,12 +21,14 @@
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import dispatcher as dispatcher_module
 from godwitstall.node import exchange
+from godwitstall.node import owner_room as owner_room_module
 from godwitstall.node import planned_stop
 from godwitstall.node.requests import context
 from godwitstall.node.sessions import claims
 from godwitstall.node.sessions import crashes
 from godwitstall.node.upstreams import slots
 from godwitstall.node.upstreams import upstream as upstream_module
+from godwitstall.routing import chain_rooms
 from godwitstall.routing import view as view_module
 from godwitstall import settings
 
@@ -55,6 +57,7 @@
         claimer: claims.Claimer,
         crash_detector: crashes.CrashDetector,
         dialect: dialect_module.Dialect | None = None,
+        rooms: chain_rooms.ChainRooms | None = None,
     ) -> None:
         self.options = options
         self.view = view
@@ -72,6 +75,9 @@
         self.planned_stop = planned_stop.PlannedStop()
         self.throttle = chain_throttle.ChainThrottle()
         self.random = random.Random()
+        self.room = owner_room_module.OwnerRoom(
+            rooms or chain_rooms.ChainRooms(), options.admits_by_chain_room
+        )
         self.dispatcher = dispatcher_module.Dispatcher(
             upstream,
             contexts,
@@ -79,6 +85,7 @@
             self.slots,
             self.throttle,
             dialect,
+            self.room,
         )
         # Serializes suspect requests, so that a crash can be attributed to
         # one of them.
@@ -126,6 +133,9 @@
             self.active -= 1
         answer.call_id = call.call_id
         answer.load = self.load()
+        answer.rooms = self.room.rooms_of_answer(
+            call, answer.load.limit, clock.recent()
+        )
         _ANSWERS.inc(kind=answer.kind.label)
         return answer
 
@@ -194,14 +204,21 @@
     async def _run_in_slot(
         self, call: messages.Call, deadline: float
     ) -> messages.Answer:
-        await self.slots.acquire(call, deadline)
+        self.room.on_arrival(call, clock.recent())
+        try:
+            await self.slots.acquire(call, deadline)
+        except errors.RequestError:
+            self.room.on_refused(call)
+            raise
         started = clock.recent()
         try:
             if not call.operation_id or call.is_idempotent:
                 return await self._dispatch(call, deadline)
             return await self._run_operation(call, deadline)
         finally:
-            self.slots.release(call.is_onward, clock.recent() - started)
+            held_s = clock.recent() - started
+            self.room.on_end(call, held_s)
+            self.slots.release(call.is_onward, held_s)
 
     async def _run_operation(
         self, call: messages.Call, deadline: float
@@ -264,4 +281,5 @@
             **self.slots.dump(),
             'active': self.active,
             'contexts': len(self.contexts.running),
+            'room': self.room.dump(),
         }
--- a/godwitstall/node/dispatcher.py
+++ b/godwitstall/node/dispatcher.py
@@ -19,6 +19,7 @@
 from godwitstall.node import answers
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node import exchange
+from godwitstall.node import owner_room as owner_room_module
 from godwitstall.node.requests import context
 from godwitstall.node.requests import headers
 from godwitstall.node.sessions import crashes
@@ -45,6 +46,11 @@
     )
 )
 
+# Error kinds with which the upstream did not take a request.
+_REJECTION_KINDS = frozenset(
+    (errors.ErrorKind.UPSTREAM_SHED, errors.ErrorKind.UPSTREAM_UNREACHABLE)
+)
+
 # Error kinds after which the upstream process may have crashed.
 _POSSIBLE_CRASH_KINDS = frozenset(
     (errors.ErrorKind.UPSTREAM_LOST, errors.ErrorKind.ANSWER_CUT)
@@ -76,6 +82,7 @@
         slots: slots_module.Slots,
         throttle: chain_throttle.ChainThrottle,
         dialect: dialect_module.Dialect | None,
+        room: owner_room_module.OwnerRoom,
     ) -> None:
         self.upstream = upstream
         self.contexts = contexts
@@ -84,11 +91,18 @@
         self.throttle = throttle
         # Header names that the upstream uses; None means godwitstall-*.
         self.dialect = dialect
+        self.room = room
 
     def is_throttled(self, call: messages.Call) -> bool:
-        """Return whether the chain throttle applies to the call."""
+        """Return whether the chain throttle applies to the call.
+
+        Admission by room replaces it: the throttle also refuses chains that
+        fail for other reasons than a lack of room, and refusing those lets no
+        other chain end.
+        """
         return (
             self.dialect is not None
+            and not self.room.is_enabled
             and not call.is_onward
             and call.priority is not messages.Priority.PAYMENT
         )
@@ -118,11 +132,13 @@
         ended = clock.recent()
         self._update_status(result, incarnation)
         _UPSTREAM_SECONDS.observe(ended - now, kind=result.kind.label)
+        is_success = (
+            not running_request.has_failed_onward_call
+            and result.kind is errors.ErrorKind.NONE
+        )
+        self.room.on_run(result.kind not in _REJECTION_KINDS, ended)
+        self.room.on_run_end(running_request, is_success)
         if running_request.onward_time_s and self.is_throttled(call):
-            is_success = (
-                not running_request.has_failed_onward_call
-                and result.kind is (errors.ErrorKind.NONE)
-            )
             self.throttle.on_end(call.route_name, is_success, ended)
         self._update_limit(result, running_request, ended)
         if result.kind is not errors.ErrorKind.NONE:
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -14,6 +14,7 @@
 from godwitstall import logs
 from godwitstall import metrics_endpoint
 from godwitstall.node import base_node
+from godwitstall.node.callers import chain_admission
 from godwitstall.node.callers import gateway
 from godwitstall.node import dialect as dialect_module
 from godwitstall.node.peers import stewardship
@@ -40,6 +41,9 @@
     ) -> None:
         framing = upstream_answer.Framing(dialect.attempt_id, True)
         super().__init__(options, fleet, dialect, framing)
+        self.chain_admission = chain_admission.ChainAdmission.from_config(
+            self.rooms, options.admits_by_chain_room
+        )
         self.gateway = gateway.Gateway(
             options,
             dialect,
@@ -48,6 +52,7 @@
             self.admission,
             self.contexts,
             self.relay,
+            self.chain_admission,
         )
         self.listener = http_listener.Listener(
             {options.caller_address: self.gateway.serve},
@@ -154,4 +159,5 @@
         return self.dump_components() | {
             'is_stopping': self.stop_requested.is_requested(),
             'active': self.listener.active_requests,
+            'chain_admission': self.chain_admission.dump(),
         }
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -22,6 +22,7 @@
 from godwitstall.node import answers
 from godwitstall.node import dispatch
 from godwitstall.node.peers import forward
+from godwitstall.routing import chain_rooms
 from godwitstall.routing import picker as picker_module
 from godwitstall import settings
 
@@ -138,12 +139,14 @@
         forwarder: forward.Forwarder,
         owner: dispatch.Owner,
         policy: RetryPolicy | None = None,
+        rooms: chain_rooms.ChainRooms | None = None,
     ) -> None:
         self.policy = policy or RetryPolicy()
         self.options = options
         self.picker = picker
         self.forwarder = forwarder
         self.owner = owner
+        self.rooms = rooms or chain_rooms.ChainRooms()
         # Retry budgets by service.
         self.budgets: dict[messages.ServiceName, retry_budget.RetryBudget]
         self.budgets = {}
@@ -217,10 +220,21 @@
                 break
             _RETRIES.inc(service=call.service)
         if answer is None:
+            self._note_no_room(call)
             return _no_upstream_answer()
         answer.attempts_used = attempts - attempts_left
         return answer
 
+    def _note_no_room(self, call: messages.Call) -> None:
+        """Note that a service without members has no room for any level."""
+        if self.options.admits_by_chain_room:
+            self.rooms.on_answer(
+                call.route_name,
+                call.service,
+                [messages.ServiceRoom(call.service, 0.0, 0, 1.0)],
+                clock.recent(),
+            )
+
     def _log_failed_try(
         self,
         call: messages.Call,
@@ -327,6 +341,13 @@
             raise
         else:
             self._update_picker(member, answer, answer.load)
+            if answer.rooms and self.options.admits_by_chain_room:
+                self.rooms.on_answer(
+                    call.route_name,
+                    call.service,
+                    answer.rooms,
+                    clock.recent(),
+                )
         return answer
 
     def _update_picker(
--- a/godwitstall/node/requests/context.py
+++ b/godwitstall/node/requests/context.py
@@ -43,6 +43,12 @@
     fingerprint: bytes
     # Time of the dispatch, seconds of clock.now().
     started_at: float
+    # Share of the chains of this kind that the first node admitted.
+    admitted_share: float = 1.0
+    # Number of onward calls by route and service.
+    onward_legs: dict[tuple[str, messages.ServiceName], int] = (
+        dataclasses.field(default_factory=dict)
+    )
     # Whether an onward call failed after all its attempts.
     has_failed_onward_call: bool = False
     # Number of onward calls in progress.
@@ -58,6 +64,13 @@
             self.onward_changed_at = now
         self.onward_calls += 1
 
+    def count_onward_leg(
+        self, route_name: str, service: messages.ServiceName
+    ) -> None:
+        """Count an onward call of a route to a service."""
+        leg = route_name, service
+        self.onward_legs[leg] = self.onward_legs.get(leg, 0) + 1
+
     def end_onward_call(self, now: float) -> None:
         """Count an onward call that has ended."""
         self.onward_calls -= 1
@@ -107,6 +120,7 @@
             call.order,
             call.fingerprint,
             now,
+            call.admitted_share,
         )
         self.running[token] = request
         return request
--- a/godwitstall/schema/calls.py
+++ b/godwitstall/schema/calls.py
@@ -37,8 +37,9 @@
 
     # Service that the mark describes.
     service: ids.ServiceName = ids.ServiceName('')
-    # Lowest level of requests that the service still admits; the level is
-    # derived from rank and priority, and a higher number is admitted later.
+    # Levels of requests that the service admits. A level follows from rank and
+    # priority, and a higher one is admitted later. Levels below the whole part
+    # are admitted whole, the level of the whole part by the fraction.
     level: float = 0.0
     # Time since the measurement, milliseconds, at the time of sending.
     age_ms: int = 0
@@ -93,6 +94,9 @@
     # that limit, requests per second; 0 and infinite if none did.
     limited_incarnation: int = 0
     rate_limit: float = math.inf
+    # Share of the requests of this kind that the first node of the chain
+    # admitted, 0 to 1; 1 if it admits all.
+    admitted_share: float = 1.0
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -137,6 +137,9 @@
     # Whether to keep serving with the last known configuration when control is
     # lost, instead of rejecting all calls.
     serves_without_lease: bool = False
+    # Whether the first node of a chain admits requests by the room of the
+    # services that the chain needs.
+    admits_by_chain_room: bool = False
     # Minimum duration of a planned stop, seconds; 0 for the time of one lease.
     stop_settle_s: float = 0.0
     # Additional address that serves /metrics, 'host:port'; empty for none.
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -209,6 +209,13 @@
         'is_pass_through = 1',
         ['node.is_pass_through: must be true or false, not 1'],
     ),
+    _Case(
+        'number for the switch of a part',
+        'node',
+        '',
+        'admits_by_chain_room = 1',
+        ['node.admits_by_chain_room: must be true or false, not 1'],
+    ),
     _Case(
         'unknown choice',
         'node',
