--- a/tests/node/test_speed_of_answers.py
+++ b/tests/node/test_speed_of_answers.py
@@ -178,7 +178,7 @@
     """Guards against onward calls in the time of an upstream."""
     nothing: typing.Any = None
     dispatcher = dispatcher_module.Dispatcher(
-        nothing, nothing, nothing, nothing, nothing, None
+        nothing, nothing, nothing, nothing, nothing, None, nothing
     )
     running = context.RequestContext(
         'token',
