--- a/godwitstall/limits/cold_rate.py
+++ b/godwitstall/limits/cold_rate.py
@@ -63,7 +63,7 @@
         self._refilled_at = now
         # Times of the newest requests that were written, oldest first.
         self._written_at: collections.deque[float] = collections.deque()
-        # Time of the last turn that a refused request was told, seconds.
+        # Last turn that was assigned to a refused request, seconds.
         self._promised_at = -math.inf
 
     @classmethod
@@ -205,7 +205,7 @@
     def next_turn_s(self, now: float) -> float:
         """Return when the next refused request has room, seconds from now.
 
-        Each refused request is told a turn of its own, until the upstream is
+        Each refused request is assigned its own turn, until the upstream is
         warm.
         """
         last = max(self._promised_at, now)
--- a/godwitstall/node/callers/chain_admission.py
+++ b/godwitstall/node/callers/chain_admission.py
@@ -1,8 +1,8 @@
 """Admits new chains by the room of the services that they need.
 
 The first node of a chain decides before it sends anything, by what earlier
-answers have told it. A refused request has not been run, and its caller is
-told to come back when room is expected.
+answers have reported. A refused request has not been run, and its
+Retry-After is the time at which room is expected.
 
 Example: call.admitted_share = chain_admission.admit(call, now)
 """
--- a/godwitstall/node/upstreams/cold_limit.py
+++ b/godwitstall/node/upstreams/cold_limit.py
@@ -39,7 +39,7 @@
 _MAX_ANNOUNCEMENT_DELAY_S = 1.0
 
 # Largest additional wait of a refused request, relative to the wait to its
-# turn. It spreads the requests that are told to return at the end of the cold
+# turn. It spreads the requests that return at the end of the cold
 # time.
 _RETRY_JITTER = 0.25
 _MIN_RETRY_AFTER_S = 0.05
--- a/godwitstall/routing/picker.py
+++ b/godwitstall/routing/picker.py
@@ -44,7 +44,7 @@
 ZONE_LOAD_MARGIN = 0.25
 
 
-# Age up to which a load report tells more about a member than the average of
+# Age up to which a load report describes a member better than the average of
 # its zone, seconds. Within it, few of the requests that it counted have ended.
 FRESH_REPORT_S = 0.1
 
