Leave out cold upstreams from the room of their service

Cause: the mark of an owner whose upstream is cold says that there is almost no room, and counts in the mean of its service, so that first nodes refused chains which warm owners could run.

Change: an owner sends no mark while its upstream is cold.

--- a/godwitstall/node/dispatch.py
+++ b/godwitstall/node/dispatch.py
@@ -136,7 +136,10 @@
         answer.call_id = call.call_id
         answer.load = self.load()
         answer.rooms = self.room.rooms_of_answer(
-            call, answer.load.limit, clock.recent()
+            call,
+            # Other owners run what a cold upstream refuses.
+            0 if answer.load.cold_ms else answer.load.limit,
+            clock.recent(),
         )
         _ANSWERS.inc(kind=answer.kind.label)
         return answer
