Count requests to a cold upstream at the time at which they are written

Cause: the window of one second took the cached time, which lags behind by the iteration of the loop.

Change: check_write() reads the clock, where a limit is configured.

Measured: test_late_iteration_of_the_loop_adds_no_requests failed before (no error at 1.1 s) and passes; tests of cold upstreams pass.

--- a/godwitstall/node/upstreams/cold_limit.py
+++ b/godwitstall/node/upstreams/cold_limit.py
@@ -118,7 +118,10 @@
 
         Errors: RequestError of kind OVERLOADED if it would exceed the limit.
         """
-        now = clock.recent()
+        if not self.rate.is_limited():
+            return
+        # The cached time would count a request earlier than it is written.
+        now = clock.now()
         if not self.rate.may_write(now):
             raise errors.RequestError(
                 errors.ErrorKind.OVERLOADED,
--- a/tests/node/test_cold_reports.py
+++ b/tests/node/test_cold_reports.py
@@ -7,6 +7,7 @@
 import pytest
 
 from godwitstall import clock
+from godwitstall import errors
 from godwitstall import messages
 from godwitstall.node.requests import context
 from godwitstall.node.upstreams import announcements
@@ -194,3 +195,28 @@
     upstream.on_zone_taken_back()
     assert not _is_cold(upstream)
     assert not upstream.probe_wanted.is_set()
+
+
+def test_late_iteration_of_the_loop_adds_no_requests(
+    time: _Time, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests counted at the begin of a long iteration.
+
+    The cached time lags behind by the iteration. A node that starts beside a
+    cold upstream has long ones, and requests that were written at their end
+    would leave the window too early.
+    """
+    upstream, _ = _make()
+    _announce(upstream, cold_ms=60_000)
+    limit = upstream.cold
+    cached_at = time.now
+    monkeypatch.setattr(clock, 'recent', lambda: cached_at)
+    time.now += 0.4
+    for _ in range(limit.rate.max_in_window()):
+        limit.check_write()
+    monkeypatch.setattr(clock, 'recent', time)
+    time.now = cached_at + 1.1
+    with pytest.raises(errors.RequestError):
+        limit.check_write()
+    time.now = cached_at + 1.5
+    limit.check_write()
