--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -165,9 +165,7 @@
         raise CannotRunError('no free ports')
 
     def _fields(self, machine: Machine) -> dict[str, typing.Any]:
-        seeds = [
-            self.address(c, CONTROL_PLANE) for c in self.controls[:3]
-        ]
+        seeds = [self.address(c, CONTROL_PLANE) for c in self.controls[:3]]
         own = {
             'nodeId': machine.name,
             'role': machine.role,
@@ -273,7 +271,12 @@
                 answer = await read_answer(reader)
                 writer.close()
                 return answer.status, answer.body
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            ValueError,
+        ):
             return 0, b''
 
     async def put_manifest(
@@ -322,7 +325,12 @@
                 answer = await read_answer(reader)
                 writer.close()
                 return answer.status == 200
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            ValueError,
+        ):
             return False
 
 
@@ -492,7 +500,12 @@
                 answer = await read_answer(reader)
                 writer.close()
                 return answer.status
-        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            ValueError,
+        ):
             return 0
 
     def beat_body(self) -> bytes:
@@ -530,16 +543,24 @@
                 head = await read_head(reader)
                 path = head.first_line.split(' ')[1]
                 if path == '/healthz':
-                    self.answer(writer, 200, b'', None, [
-                        ('Instance-Id', self.instance_id)
-                    ])
+                    self.answer(
+                        writer,
+                        200,
+                        b'',
+                        None,
+                        [('Instance-Id', self.instance_id)],
+                    )
                     continue
                 expected = head.header('expected-instance')
                 if expected not in (None, self.instance_id):
                     await read_body(reader, head)
-                    self.answer(writer, 421, b'', None, [
-                        ('Instance-Id', self.instance_id)
-                    ])
+                    self.answer(
+                        writer,
+                        421,
+                        b'',
+                        None,
+                        [('Instance-Id', self.instance_id)],
+                    )
                     continue
                 await self.serve_request(head, reader, writer)
                 await writer.drain()
