--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -29,8 +29,6 @@
 # Ports, the same on all machines of a run.
 INTERNAL, INBOUND, READY, OUTBOUND, CONTROL_PLANE, APP = range(6)
 
-_BOUNDS = {'grace': 6.0}
-
 
 class CannotRunError(Exception):
     """The case could not run."""
@@ -344,13 +342,14 @@
     return True
 
 
-def rss_mb(pid: int) -> float:
-    """Return the resident memory of a process, MB of 1,000,000 bytes."""
+def private_mb(pid: int) -> float:
+    """Return the private resident memory of a process, MB of 10**6 bytes."""
     try:
-        pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
-    except (OSError, IndexError):
+        status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    except OSError:
         return 0.0
-    return pages * os.sysconf('SC_PAGE_SIZE') / 1e6
+    match = re.search(r'^RssAnon:\s+(\d+) kB', status, re.MULTILINE)
+    return int(match[1]) * 1024 / 1e6 if match else 0.0
 
 
 # HTTP
