--- a/tests/crowds/crowd.py
+++ b/tests/crowds/crowd.py
@@ -16,6 +16,7 @@
 import contextlib
 import os
 import pathlib
+import socket
 import sys
 import types
 import typing
@@ -223,6 +224,11 @@
         self.send = send
         # Whether answers are read.
         self.reads = reads
+        # Bytes that are read at once, and the pause after them, seconds.
+        self.read_bytes = 1024
+        self.read_pause_s = 0.0
+        # Receive buffer of the kernel, bytes; 0 selects its default.
+        self.receive_buffer_bytes = 0
         self.writers: list[asyncio.StreamWriter] = []
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -239,22 +245,34 @@
         for writer in self.writers:
             writer.transport.abort()
 
-    async def settle(self) -> None:
+    async def settle(self, timeout_s: float = _SETTLE_TIMEOUT_S) -> None:
         """Wait until all has been sent, or the clients get no further."""
-        await asyncio.wait(self.tasks, timeout=_SETTLE_TIMEOUT_S)
+        await asyncio.wait(self.tasks, timeout=timeout_s)
 
     async def _run(self) -> None:
         host, port = link_module.split_address(self.address)
         # The process may refuse or close the connection at any time.
         with contextlib.suppress(OSError):
             # Answers stay in the buffers of the kernel and the process.
+            client_socket = socket.socket()
+            client_socket.setblocking(False)
+            if self.receive_buffer_bytes:
+                client_socket.setsockopt(
+                    socket.SOL_SOCKET,
+                    socket.SO_RCVBUF,
+                    self.receive_buffer_bytes,
+                )
+            await asyncio.get_running_loop().sock_connect(
+                client_socket, (host, port)
+            )
             reader, writer = await asyncio.open_connection(
-                host, port, limit=1024
+                limit=1024, sock=client_socket
             )
             self.writers.append(writer)
             if not self.reads:
                 transport = typing.cast(asyncio.Transport, writer.transport)
                 transport.pause_reading()
             await self.send(writer)
-            while self.reads and await reader.read(1024):
-                pass
+            while self.reads and await reader.read(self.read_bytes):
+                if self.read_pause_s:
+                    await asyncio.sleep(self.read_pause_s)
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -1,15 +1,13 @@
 """Deployment files from which the platform starts the programs."""
 
 import pathlib
-import re
 import tomllib
 import typing
 
 import pytest
 
 from godwitstall import settings
-
-_DEPLOY = pathlib.Path(__file__).resolve().parents[2] / 'deploy'
+from tests import deploy_templates
 
 _VARIABLES: dict[str, typing.Any] = {
     'nodeId': 'm-1',
@@ -31,49 +29,6 @@
 }
 
 
-def _lookup(path: str) -> typing.Any:
-    value: typing.Any = _VARIABLES
-    for name in path.split('.'):
-        value = value[int(name) if isinstance(value, list) else name]
-    return value
-
-
-def _render_value(value: typing.Any) -> str:
-    return str(value).lower() if isinstance(value, bool) else str(value)
-
-
-def _render(template: str) -> str:
-    """Render the template syntax that deploy/ uses: values and lists."""
-
-    def expand(section: re.Match[str]) -> str:
-        entries = _lookup(section[1])
-        if entries is None:
-            entries = []
-        elif not isinstance(entries, dict | list):
-            entries = [entries]
-        keyed = (
-            entries.items()
-            if isinstance(entries, dict)
-            else enumerate(entries)
-        )
-        parts = [
-            section[2].replace('{{.}}', str(entry)).replace('{{@}}', str(key))
-            for key, entry in keyed
-        ]
-        return ','.join(part.replace('{{,}}', '') for part in parts)
-
-    filled = re.sub(r'{{#([\w.]+)}}(.*?){{/\1}}', expand, template)
-    return re.sub(
-        r'{{([\w.]+)}}', lambda match: _render_value(_lookup(match[1])), filled
-    )
-
-
-def _role(name: str) -> dict[str, typing.Any]:
-    content = tomllib.loads((_DEPLOY / 'system.toml').read_text())
-    role: dict[str, typing.Any] = content['roles'][name]
-    return role
-
-
 @pytest.mark.parametrize(
     ('name', 'options_type'),
     [('node', settings.NodeOptions), ('control', settings.ControlOptions)],
@@ -82,9 +37,8 @@
     name: str, options_type: type, tmp_path: pathlib.Path
 ) -> None:
     """Guards against a template that the settings checks reject."""
-    template = (_DEPLOY.parent / _role(name)['template']).read_text()
     path = tmp_path / 'boot.toml'
-    path.write_text(_render(template))
+    path.write_text(deploy_templates.render(name, _VARIABLES))
     options: typing.Any
     fleet, options, _ = settings.load(path, options_type)
     assert fleet.seeds == [
@@ -100,7 +54,7 @@
 ) -> None:
     """Guards against refused orders for a zone without members."""
     path = tmp_path / 'boot.toml'
-    path.write_text(_render((_DEPLOY / 'control.toml.in').read_text()))
+    path.write_text(deploy_templates.render('control', _VARIABLES))
     _, options, _ = settings.load(path, settings.ControlOptions)
     assert options.zones == ['z1', 'z2']
 
@@ -112,9 +66,7 @@
     to reach every node. In this time a node must detect the loss of its
     replica, try the other lost replica and get a response from a third.
     """
-    node = tomllib.loads(_render((_DEPLOY / 'node.toml.in').read_text()))[
-        'node'
-    ]
+    node = tomllib.loads(deploy_templates.render('node', _VARIABLES))['node']
     detection_s = node['heartbeat_s'] + node['lease_s'] / 2
     retry_s = 2 * node['lease_s'] / 4
     assert detection_s + retry_s < 2.0
@@ -125,6 +77,6 @@
 ) -> None:
     """Guards against requests that are cut off when the grace period ends."""
     path = tmp_path / 'boot.toml'
-    path.write_text(_render((_DEPLOY / 'node.toml.in').read_text()))
+    path.write_text(deploy_templates.render('node', _VARIABLES))
     _, options, _ = settings.load(path, settings.NodeOptions)
     assert options.stop_settle_s < options.planned_stop_s() < 6.0
