--- a/godwitstall/codec.py
+++ b/godwitstall/codec.py
@@ -84,6 +84,9 @@
     messages.Call
     | messages.Answer
     | messages.Cancel
+    | messages.BodyOffer
+    | messages.BodyGrant
+    | messages.BodyPart
     | messages.Take
     | messages.TakeReply
     | messages.Heartbeat
--- a/godwitstall/http/connection.py
+++ b/godwitstall/http/connection.py
@@ -22,6 +22,7 @@
 from godwitstall.http import unparsed as unparsed_module
 from godwitstall import logs
 from godwitstall import metrics
+from godwitstall import paced_writer
 
 _LOG = logs.get('http')
 _BAD_REQUESTS = metrics.counter(
@@ -86,6 +87,7 @@
         self.transport: typing.Any = None
         # Set with the transport.
         self.lifetime: lifetime_module.Lifetime
+        self.writer: paced_writer.PacedWriter
         self.unparsed: unparsed_module.UnparsedBytes
         # Once it is stopped, no more requests are read; pending responses are
         # still sent.
@@ -104,14 +106,18 @@
         # connection that is closed with unread bytes, and the client would
         # lose what it has not received yet.
         self.is_lingering = False
+        # Whether the connection ends behind the response that is written.
+        self.ends_after_response = False
+        self.has_client_left = False
         self.is_write_paused = False
         # Whether responses are written although the client reads none.
         self.is_cut = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
+        self.writer = paced_writer.PacedWriter(transport)
         self.lifetime = lifetime_module.Lifetime(
-            transport, self.listener.limits
+            transport, self.listener.limits, self.writer
         )
         self.unparsed = unparsed_module.UnparsedBytes(
             transport, self.listener.parse_turns, self
@@ -122,13 +128,16 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.connections.discard(self)
         self._on_client_left()
+        self.writer.clear()
 
-    def eof_received(self) -> None:
+    def eof_received(self) -> bool:
         """Cancel the pending requests, and close the connection.
 
-        The transport closes it only when all that was written has been sent.
+        It is closed only when the response that is written has been sent.
         """
         self._on_client_left()
+        self.has_client_left = True
+        return self.writer.is_busy()
 
     def _on_client_left(self) -> None:
         self.parser.is_stopped = True
@@ -162,13 +171,18 @@
                     errors.ErrorKind.CUT_BY_STOP
                 )
         self._flush()
-        if not self.is_lingering:
+        if self.writer.is_busy():
+            self.ends_after_response = not self.exchanges
+        elif not self.is_lingering:
             # No response was due, but one may be on its way.
             self._linger()
 
     def close(self) -> None:
         """Cut the pending requests and close the connection."""
         self.cut_requests()
+        while self.writer.is_busy():
+            self.writer.flush()
+            self._on_response_written()
         self.transport.close()
 
     def _cancel_handlers(self, reason: CutReason) -> None:
@@ -181,13 +195,30 @@
     def pause_writing(self) -> None:
         """Parse no more requests; the client is slow to read its responses."""
         self.is_write_paused = True
+        self.writer.pause()
 
     def resume_writing(self) -> None:
-        """Go on parsing when the client has caught up."""
+        """Go on with the response and with parsing; the client reads."""
         self.is_write_paused = False
+        if self.writer.is_busy():
+            if self.writer.resume():
+                self._on_response_written()
+            return
+        self.writer.resume()
         self._flush()
         self.unparsed.parse()
 
+    def _on_response_written(self) -> None:
+        """Go on behind a response that was written in parts."""
+        self.lifetime.last_active_at = clock.recent()
+        if self.has_client_left:
+            self.transport.close()
+        elif self.ends_after_response:
+            self._linger()
+        else:
+            self._flush()
+            self.unparsed.parse()
+
     def may_parse(self) -> bool:
         """Return whether more requests may be parsed now."""
         return not (
@@ -338,7 +369,7 @@
 
     def _flush(self) -> None:
         """Write the completed responses that are next in order."""
-        while self.exchanges:
+        while self.exchanges and not self.writer.is_busy():
             exchange = self.exchanges[0]
             if exchange.is_refused and exchange.response is None:
                 exchange.response = self.listener.respond_to_error(
@@ -361,14 +392,17 @@
             is_last = not self.exchanges and (
                 self.is_refusing or self.parser.is_stopped
             )
-            self.transport.write(
-                http_messages.encode_response(
+            self.writer.write(
+                *http_messages.encode_response(
                     exchange.response, exchange.is_head, is_last
                 )
             )
             self.lifetime.last_active_at = clock.recent()
             if is_last:
-                self._linger()
+                if self.writer.is_busy():
+                    self.ends_after_response = True
+                else:
+                    self._linger()
                 return
             if self.has_waiting:
                 self._start_waiting_handler()
@@ -389,7 +423,12 @@
 
     def close_if_finished(self) -> None:
         """Close the connection if no request and no response can be lost."""
-        if self.parser.request_started_at or self.exchanges or self.unparsed:
+        if (
+            self.parser.request_started_at
+            or self.exchanges
+            or self.unparsed
+            or self.writer.is_busy()
+        ):
             return
         if self.lifetime.has_lingered(clock.recent()):
             self.parser.is_stopped = True
@@ -401,6 +440,7 @@
     def _abort(self) -> None:
         """Close the connection at once, and discard what is unsent."""
         self._on_client_left()
+        self.writer.clear()
         self.transport.abort()
 
     def check_timeouts(self, now: float) -> None:
@@ -415,9 +455,9 @@
                 self.transport.close()
         elif self.parser.request_started_at:
             self._check_half_read_request(now)
-        elif not (self.exchanges or self.unparsed) and (
-            self.lifetime.is_idle_too_long(now)
-        ):
+        elif not (
+            self.exchanges or self.unparsed or self.writer.is_busy()
+        ) and self.lifetime.is_idle_too_long(now):
             self.parser.is_stopped = True
             self.transport.close()
 
@@ -466,14 +506,30 @@
             len(self.unparsed)
             + self.parser.held_bytes()
             + sum(exchange.held_bytes() for exchange in self.exchanges)
+            + self.writer.held_bytes()
             + unsent_bytes
         )
 
     def release_bytes(self) -> None:
-        """Reject a half-read request, or abort responses that are not read."""
+        """Reject a half-read request, or abort responses that are not read.
+
+        Those of a client that reads them are aborted only if the process
+        would exceed its memory otherwise.
+        """
         if not self.parser.is_stopped and (
             self.parser.request_started_at or self.unparsed
         ):
             self.reject(errors.ErrorKind.MEMORY_FULL)
-        elif self.is_write_paused:
+        elif self.is_write_paused and (
+            self.lifetime.is_slow_reader(self._response_bytes())
+            or self.listener.budget.is_over_total()
+        ):
             self._abort()
+
+    def _response_bytes(self) -> int:
+        """Return the size of the responses that wait for the client."""
+        ready_bytes = 0
+        for exchange in self.exchanges:
+            if exchange.response is not None:
+                ready_bytes += len(exchange.response.body)
+        return ready_bytes + self.lifetime.delivery.unsent_bytes()
--- a/godwitstall/http/delivery.py
+++ b/godwitstall/http/delivery.py
@@ -12,25 +12,39 @@
 import typing
 
 from godwitstall import clock
+from godwitstall import paced_writer
 
 _INT = struct.Struct('i')
 
+# Time over which the rate of a peer is measured, seconds.
+_RATE_WINDOW_S = 1.0
+
 
 class Delivery:
     """Observes how many bytes of one connection are on their way."""
 
-    def __init__(self, transport: typing.Any) -> None:
+    def __init__(
+        self, transport: typing.Any, writer: paced_writer.PacedWriter
+    ) -> None:
         self.transport = transport
+        # Has the rest of the body that is being written.
+        self.writer = writer
         # Bytes on their way at the last update.
         self.pending_bytes = 0
         # Time of the last update at which fewer bytes were on their way, or
         # none, seconds.
         self.moved_at = clock.recent()
+        # Bytes that the peer takes in a second, None if it keeps up.
+        self.rate: float | None = None
+        # Start of the window in which the rate is measured, seconds, and what
+        # the peer had taken until then, bytes.
+        self._window_at = clock.recent()
+        self._window_bytes = 0
 
     def unsent_bytes(self) -> int:
         """Return the number of bytes in the buffer of the process."""
         size: int = self.transport.get_write_buffer_size()
-        return size
+        return size + self.writer.left_bytes()
 
     def update(self, now: float) -> None:
         """Note whether the peer has received bytes since the last update.
@@ -45,6 +59,23 @@
         if not unsent_bytes or pending_bytes < self.pending_bytes:
             self.moved_at = now
         self.pending_bytes = pending_bytes
+        self._update_rate(now, unsent_bytes)
+
+    def _update_rate(self, now: float, unsent_bytes: int) -> None:
+        taken_bytes = self.writer.total_bytes - self.pending_bytes
+        passed_s = now - self._window_at
+        if unsent_bytes and passed_s < _RATE_WINDOW_S:
+            return
+        if unsent_bytes:
+            self.rate = (taken_bytes - self._window_bytes) / passed_s
+        else:
+            self.rate = None
+        self._window_at = now
+        self._window_bytes = taken_bytes
+
+    def is_slow(self, size: int, timeout_s: float) -> bool:
+        """Return whether the peer would take size bytes in over timeout_s."""
+        return self.rate is not None and size > self.rate * timeout_s
 
     def _kernel_bytes(self) -> int:
         """Return the bytes that the peer has not acknowledged."""
--- a/godwitstall/http/lifetime.py
+++ b/godwitstall/http/lifetime.py
@@ -1,7 +1,7 @@
 """When a connection of a client is closed, and which of them are idle.
 
 Example:
-    lifetime = Lifetime(transport, listener.limits)
+    lifetime = Lifetime(transport, listener.limits, writer)
     if lifetime.is_abandoned(now):
         transport.abort()
 """
@@ -13,11 +13,16 @@
 from godwitstall import clock
 from godwitstall.http import delivery as delivery_module
 from godwitstall.http import messages as http_messages
+from godwitstall import paced_writer
 
 # After its last response a connection is read for this long, until the client
 # closes it.
 _LINGER_S = 1.0
 
+# A client reads slowly if it takes longer for the responses that wait for it,
+# seconds. It is closed only when the process is short of memory.
+_SLOW_READER_S = 10.0
+
 
 class IdleRank(enum.Enum):
     """Order in which connections are closed at the limit, lowest first."""
@@ -38,11 +43,14 @@
     """Activity of one connection."""
 
     def __init__(
-        self, transport: typing.Any, limits: http_messages.Limits
+        self,
+        transport: typing.Any,
+        limits: http_messages.Limits,
+        writer: paced_writer.PacedWriter,
     ) -> None:
         self.transport = transport
         self.limits = limits
-        self.delivery = delivery_module.Delivery(transport)
+        self.delivery = delivery_module.Delivery(transport, writer)
         # When the last response was written, or the connection was made.
         self.last_active_at = clock.recent()
         # When the client last sent bytes, or could not be expected to.
@@ -87,6 +95,10 @@
             and not self.transport.get_write_buffer_size()
         )
 
+    def is_slow_reader(self, size: int) -> bool:
+        """Return whether the client takes size bytes of responses slowly."""
+        return self.delivery.is_slow(size, _SLOW_READER_S)
+
     def is_abandoned(self, now: float) -> bool:
         """Return whether the client has left, or reads no response."""
         return self._is_left_unread() or self._is_stalled(now)
--- a/godwitstall/http/listener.py
+++ b/godwitstall/http/listener.py
@@ -35,8 +35,7 @@
 _TIMEOUT_CHECK_INTERVAL_S = 0.5
 
 # Maximum size of the requests and responses that all connections hold
-# together, bytes. With the answers of the upstream it must fit into the 200 MB
-# that the platform allows.
+# together, bytes, for a listener without the budget of its process.
 MAX_HELD_BYTES = 64 * 1024 * 1024
 
 # A graceful close first waits this long for the first bytes of connections
@@ -61,6 +60,7 @@
             http_messages.respond_plainly
         ),
         max_connections: int = 0,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         # Keyed by 'host:port'.
         self.handlers = handlers
@@ -72,9 +72,11 @@
         # answered.
         self.is_stopping = False
         self.connections: set[http_connection.Connection] = set()
-        self.budget = byte_budget.ByteBudget(
-            'requests', MAX_HELD_BYTES, self.connections
+        # That of the process, or one of its own.
+        self.budget = budget or byte_budget.ByteBudget(
+            'requests', MAX_HELD_BYTES
         )
+        self.budget.include(self.connections)
         # 0 selects the share of a node.
         self.connection_limit = connection_limit.ConnectionLimit(
             'clients',
@@ -108,6 +110,8 @@
             now = clock.recent()
             for connection in list(self.connections):
                 connection.check_timeouts(now)
+            # Some clients may be known to read slowly by now.
+            self.budget.enforce()
 
     def is_accepting(self, address: str) -> bool:
         """Return whether connections to an address are accepted."""
--- a/godwitstall/http/messages.py
+++ b/godwitstall/http/messages.py
@@ -2,7 +2,7 @@
 
 Example:
     response = http_messages.Response(200, [(b'content-type', b'text/plain')])
-    data = http_messages.encode_response(response, False, False)
+    head, body = http_messages.encode_response(response, False, False)
 """
 
 import collections.abc
@@ -47,6 +47,7 @@
     target: str
     # Names are in lower case.
     headers: Headers
+    # A large one is a bytearray, which saves a copy and is not changed.
     body: bytes
     # Time of clock.recent() at which the last byte was received.
     received_at: float
@@ -66,6 +67,7 @@
     status: int
     # Headers other than Connection and Content-Length.
     headers: Headers = dataclasses.field(default_factory=list)
+    # A large one may be a bytearray, as that of a request.
     body: bytes = b''
     # Whether to close the connection. The requests that have been read are
     # answered first, and those that are read meanwhile are refused.
@@ -89,8 +91,11 @@
 
 def encode_response(
     response: Response, is_head: bool, closes_connection: bool
-) -> bytes:
-    """Return the bytes of a response; one to HEAD has no body."""
+) -> tuple[bytes, bytes]:
+    """Return the head of a response and the body that follows it.
+
+    A response to HEAD has no body.
+    """
     status = response.status
     parts = [
         b'HTTP/1.1 %d %s\r\n' % (status, _REASON_PHRASES.get(status, b''))
@@ -106,6 +111,5 @@
     if closes_connection:
         parts.append(b'connection: close\r\n')
     parts.append(b'\r\n')
-    if not is_head and status not in _BODILESS_STATUSES:
-        parts.append(response.body)
-    return b''.join(parts)
+    has_body = not is_head and status not in _BODILESS_STATUSES
+    return b''.join(parts), response.body if has_body else b''
--- a/godwitstall/http/parser.py
+++ b/godwitstall/http/parser.py
@@ -25,6 +25,9 @@
 # A Content-Length with more digits is rejected without being converted.
 _MAX_CONTENT_LENGTH_DIGITS = 15
 
+# Size up to which a body that arrived in parts is copied into one object.
+_COPIED_BODY_BYTES = 64 * 1024
+
 _CHECKED_HEADERS = frozenset(
     (b'content-length', b'expect', b'host', b'transfer-encoding')
 )
@@ -245,6 +248,12 @@
             self.body = bytearray(self.body)
         self.body += part
 
+    def _whole_body(self) -> bytes:
+        """Return the body; a large one must not be copied."""
+        if self.body_bytes > _COPIED_BODY_BYTES:
+            return typing.cast(bytes, self.body)
+        return bytes(self.body)
+
     def on_message_complete(self) -> None:
         self.request_started_at = 0.0
         self.is_in_headers = True
@@ -255,7 +264,7 @@
             self.parser.get_method().decode('ascii', 'replace'),
             self.url.decode('latin-1'),
             self.headers,
-            bytes(self.body),
+            self._whole_body(),
             clock.recent(),
         )
         self.body = b''
--- a/godwitstall/link.py
+++ b/godwitstall/link.py
@@ -41,6 +41,12 @@
 # The connection is closed if the handshake takes longer.
 HANDSHAKE_TIMEOUT_S = 2.0
 
+# Unsent bytes above which no more parts of bodies are sent.
+_WRITE_HIGH_WATER_BYTES = 256 * 1024
+
+# A link that holds no more is not closed for lack of memory, bytes.
+_MAX_KEPT_BYTES = 1024 * 1024
+
 # Longest frame of the handshake. A peer that is not authenticated yet cannot
 # make this process buffer more.
 _MAX_HANDSHAKE_FRAME_BYTES = 4096
@@ -81,6 +87,8 @@
     sender_id: str
     # Secret shared by all processes of the fleet.
     secret: bytes
+    # Whether this process receives large bodies in parts.
+    takes_parts: bool = False
 
 
 def _proof(secret: bytes, side: bytes, nonce: bytes, sender: str) -> bytes:
@@ -102,11 +110,19 @@
     ) -> None:
         self.reader = reader
         self.writer = writer
+        # asyncio reads 256 KiB at once by default.
+        transport: typing.Any = writer.transport
+        transport.max_size = _READ_BYTES
         # Id of the peer, authenticated by the handshake.
         self.peer_id = ''
         # Role that the peer announced; CONTROL on the connecting side, because
         # HelloReply has no role.
         self.peer_role = messages.Role.NODE
+        # Whether the peer receives large bodies in parts.
+        self.peer_takes_parts = False
+        # Set unless the send buffer has as much as it should hold.
+        self.writable = asyncio.Event()
+        self.writable.set()
         # Requests without a reply so far, by sequence number.
         self.pending: dict[int, asyncio.Future[messages.Message]] = {}
         self.is_closed = False
@@ -163,6 +179,14 @@
         if self.budget is not None and self.counts_unsent:
             self.budget.add(len(frame))
 
+    async def wait_writable(self) -> None:
+        """Wait until the peer has received most of what was sent.
+
+        Returns when the link is closed, too. A link has this sight of its send
+        buffer only within run_sync_handler().
+        """
+        await self.writable.wait()
+
     async def request(
         self, message: typing.Any, timeout_s: float
     ) -> messages.Message:
@@ -246,9 +270,10 @@
         return len(self._buffer) + unsent_bytes
 
     def release_bytes(self) -> None:
-        """Close the link; half a message cannot be refused."""
-        self._buffer.clear()
-        self.abort()
+        """Close a link that holds much; half a message cannot be refused."""
+        if self.held_bytes() > _MAX_KEPT_BYTES:
+            self._buffer.clear()
+            self.abort()
 
     def _decode_frames(self) -> None:
         start = 0
@@ -302,6 +327,7 @@
         transport = typing.cast(asyncio.Transport, self.writer.transport)
         protocol = _LinkProtocol(self, handler)
         transport.set_protocol(protocol)
+        transport.set_write_buffer_limits(high=_WRITE_HIGH_WATER_BYTES)
         # Bytes received before the switch are only in the stream reader.
         self.reader.feed_eof()
         protocol.data_received(await self.reader.read())
@@ -353,6 +379,7 @@
         if self.is_closed:
             return
         self.is_closed = True
+        self.writable.set()
         with contextlib.suppress(RuntimeError, OSError):
             self.writer.close()
         for future in self.pending.values():
@@ -392,6 +419,12 @@
             _log_bad_message(self.link.peer_id, e)
             self.link.close()
 
+    def pause_writing(self) -> None:
+        self.link.writable.clear()
+
+    def resume_writing(self) -> None:
+        self.link.writable.set()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.link.close()
         if not self.closed.done():
@@ -443,7 +476,11 @@
 
 async def _connect_handshake(link: Link, identity: Identity) -> None:
     nonce = secrets.token_bytes(_NONCE_BYTES)
-    link.send(messages.Hello(identity.role, identity.sender_id, nonce))
+    link.send(
+        messages.Hello(
+            identity.role, identity.sender_id, nonce, identity.takes_parts
+        )
+    )
     reply = await link.receive()
     if not isinstance(reply, messages.HelloReply) or not hmac.compare_digest(
         reply.proof,
@@ -451,6 +488,7 @@
     ):
         raise errors.LinkError(errors.ErrorKind.NOT_ADMITTED)
     link.peer_id = reply.sender_id
+    link.peer_takes_parts = reply.takes_parts
     link.peer_role = messages.Role.CONTROL
     link.max_frame_bytes = codec.MAX_FRAME_BYTES
     link.send(
@@ -489,6 +527,7 @@
                         hello.nonce,
                         identity.sender_id,
                     ),
+                    identity.takes_parts,
                 )
             )
             proof = await link.receive()
@@ -508,6 +547,7 @@
         link.close()
         raise
     link.peer_id = hello.sender_id
+    link.peer_takes_parts = hello.takes_parts
     link.peer_role = hello.role
     link.max_frame_bytes = codec.MAX_FRAME_BYTES
     return link
--- a/godwitstall/link_server.py
+++ b/godwitstall/link_server.py
@@ -28,7 +28,8 @@
 _END_POLL_INTERVAL_S = 0.01
 
 # Maximum size of the half-received messages of all links together, and of the
-# send buffers where they count, bytes.
+# send buffers where they count, bytes, for a server without the budget of its
+# process.
 MAX_HELD_BYTES = 32 * 1024 * 1024
 
 # A link that has received nothing for this long may be closed at the limit on
@@ -75,7 +76,10 @@
     """Base of the servers that accept links, in nodes and in control."""
 
     def __init__(
-        self, identity: link_module.Identity, max_connections: int = 0
+        self,
+        identity: link_module.Identity,
+        max_connections: int = 0,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.identity = identity
         # Whether the send buffers of the links count in the budget.
@@ -83,9 +87,9 @@
         self.server: acceptor_module.Acceptor | None = None
         # Open links.
         self.links: set[link_module.Link] = set()
-        self.budget = byte_budget.ByteBudget(
-            'links', MAX_HELD_BYTES, self.links
-        )
+        # That of the process, or one of its own.
+        self.budget = budget or byte_budget.ByteBudget('links', MAX_HELD_BYTES)
+        self.budget.include(self.links)
         # Connections of these links and of handshakes.
         self.connections: set[_Incoming] = set()
         # 0 selects the share of a node.
--- a/godwitstall/messages.capnp
+++ b/godwitstall/messages.capnp
@@ -4,8 +4,10 @@
 # classes in messages have the same fields in snake_case, which a test
 # checks.
 
-struct Hello { role @0 :UInt8; senderId @1 :Text; nonce @2 :Data; }
-struct HelloReply { senderId @0 :Text; nonce @1 :Data; proof @2 :Data; }
+struct Hello { role @0 :UInt8; senderId @1 :Text; nonce @2 :Data; takesParts @3 :Bool; }
+struct HelloReply {
+  senderId @0 :Text; nonce @1 :Data; proof @2 :Data; takesParts @3 :Bool;
+}
 struct HelloProof { proof @0 :Data; }
 struct Error { seq @0 :UInt64; kind @1 :UInt8; detail @2 :Text; retryAfterMs @3 :UInt32; }
 
--- a/godwitstall/messages.py
+++ b/godwitstall/messages.py
@@ -49,6 +49,9 @@
 Call = calls.Call
 Answer = calls.Answer
 Cancel = calls.Cancel
+BodyOffer = calls.BodyOffer
+BodyGrant = calls.BodyGrant
+BodyPart = calls.BodyPart
 Take = calls.Take
 TakeReply = calls.TakeReply
 
@@ -134,6 +137,9 @@
     | Call
     | Answer
     | Cancel
+    | BodyOffer
+    | BodyGrant
+    | BodyPart
     | Take
     | TakeReply
     | Heartbeat
--- a/godwitstall/node/base_node.py
+++ b/godwitstall/node/base_node.py
@@ -8,6 +8,7 @@
 import random
 import typing
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import link as link_module
 from godwitstall import logs
@@ -76,7 +77,14 @@
     ) -> None:
         self.options = options
         identity = link_module.Identity(
-            messages.Role.NODE, options.node_id, fleet.secret()
+            messages.Role.NODE,
+            options.node_id,
+            fleet.secret(),
+            takes_parts=True,
+        )
+        # Counts all that the process holds for clients, nodes and upstream.
+        self.budget = byte_budget.ByteBudget.from_total(
+            'process', options.max_held_bytes
         )
         local_host, _ = link_module.split_address(options.link_address)
         self.view = view_module.View()
@@ -95,6 +103,7 @@
             self.contexts,
             self.membership.on_upstream_change,
             framing,
+            self.budget,
         )
         self.membership.upstream = self.upstream
         self.rooms = chain_rooms.ChainRooms()
@@ -112,9 +121,13 @@
             self.rooms,
         )
         self.admission = admission_module.Admission(
-            self.view, self.session, self.allowance, self.owner.planned_stop
+            self.view,
+            self.session,
+            self.allowance,
+            self.owner.planned_stop,
+            self.budget,
         )
-        self.forwarder = forward.Forwarder(identity, local_host)
+        self.forwarder = forward.Forwarder(identity, local_host, self.budget)
         self.relay = relay.Relay(
             options,
             picker_module.Picker(
@@ -134,7 +147,7 @@
             self.rooms,
         )
         self.peer_server = peer_server.PeerServer(
-            identity, self.owner, options.max_peer_connections
+            identity, self.owner, options.max_peer_connections, self.budget
         )
         self.tasks: list[asyncio.Task[None]] = []
         # Set by a signal handler, or by the stop itself.
@@ -200,7 +213,9 @@
         Calls of other nodes can arrive until their links are closed.
         """
         self.owner.planned_stop.set_end(clock.now())
-        while self.owner.active and clock.now() < end:
+        while (
+            self.owner.active or self.peer_server.sending_count
+        ) and clock.now() < end:
             await asyncio.sleep(_FINISH_POLL_INTERVAL_S)
 
     async def stop_components(self) -> None:
--- a/godwitstall/node/callers/admission.py
+++ b/godwitstall/node/callers/admission.py
@@ -7,6 +7,7 @@
     await admission.take_token(call.workspace, deadline)
 """
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import messages
@@ -26,11 +27,24 @@
         session: control_session.ControlSession,
         allowance: allowance_module.Allowance,
         planned_stop: planned_stop_module.PlannedStop,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.view = view
         self.session = session
         self.allowance = allowance
         self.planned_stop = planned_stop
+        # Bounds what the process holds.
+        self.budget = budget
+
+    def check_memory(self) -> None:
+        """Check that answers find room in the memory of the process.
+
+        Onward calls are not checked, because a running request needs them.
+        Errors: RequestError of kind MEMORY_FULL if those of earlier requests
+        wait for room.
+        """
+        if self.budget is not None and self.budget.is_congested():
+            raise errors.RequestError(errors.ErrorKind.MEMORY_FULL)
 
     def check(self, call: messages.Call, deadline: float) -> None:
         """Check a call whose deadline is in seconds of clock.now().
--- a/godwitstall/node/callers/entry.py
+++ b/godwitstall/node/callers/entry.py
@@ -202,6 +202,7 @@
         attempts = self._max_attempts(request, route)
         deadline = now + call.deadline_ms / 1000
         try:
+            self.admission.check_memory()
             self.admission.check(call, deadline)
             if call.workspace and not self.options.is_pass_through:
                 await self.admission.take_token(call.workspace, deadline)
--- a/godwitstall/node/callers/gateway.py
+++ b/godwitstall/node/callers/gateway.py
@@ -189,7 +189,9 @@
         workspace = self.view.workspaces.get(key.workspace) if key else None
         call, deadline = self._build_call(request, route, key, workspace)
         parent = self.contexts.find_parent(call.request_id)
-        if parent is not None:
+        if parent is None:
+            self.admission.check_memory()
+        else:
             deadline = self.admission.onward_deadline(deadline, parent)
         self.admission.check(call, deadline)
         if workspace is not None and workspace.rate:
--- a/godwitstall/node/gateway_node.py
+++ b/godwitstall/node/gateway_node.py
@@ -58,6 +58,7 @@
             {options.caller_address: self.gateway.serve},
             self.gateway.respond_to_error,
             options.max_client_connections,
+            self.budget,
         )
         if options.metrics_address:
             self.listener.handlers[options.metrics_address] = (
--- a/godwitstall/node/peers/forward.py
+++ b/godwitstall/node/peers/forward.py
@@ -7,13 +7,19 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import functools
 import itertools
 import typing
 
+import msgspec
+
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import link as link_module
+from godwitstall import link_bodies
+from godwitstall import link_server
 from godwitstall import logs
 from godwitstall import messages
 from godwitstall import metrics
@@ -43,17 +49,49 @@
 _RECONNECT_DELAY_S = 0.5
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class _PendingCall:
+    """A call that waits for its answer."""
+
+    link: link_module.Link
+    future: asyncio.Future[typing.Any]
+    # Time at which it was passed to the link, seconds.
+    started_at: float
+    # Whether its body is still being sent, so that it has not been run.
+    is_unsent: bool = False
+
+    def fail(
+        self, kind: errors.ErrorKind, detail: str = '', retry_after_ms: int = 0
+    ) -> None:
+        """Fail the call if it has no answer yet."""
+        if not self.future.done():
+            self.future.set_exception(
+                errors.RequestError(kind, detail, retry_after_ms)
+            )
+
+    def time_out(self) -> None:
+        """Fail the call at the end of its time."""
+        if self.is_unsent:
+            self.fail(errors.ErrorKind.DEADLINE_PASSED)
+        else:
+            self.fail(errors.ErrorKind.UPSTREAM_TIMEOUT)
+
+
 class _Peer:
     """Link to one node and the pending calls on it."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, budget: byte_budget.ByteBudget | None
+    ) -> None:
         self.address = address
+        self.budget = budget or byte_budget.ByteBudget(
+            'forwarder', link_server.MAX_HELD_BYTES
+        )
         self.link: link_module.Link | None = None
-        # Calls that wait for their answer, by call id, and the link over which
-        # each call was sent.
-        self.pending: dict[
-            int, tuple[link_module.Link, asyncio.Future[typing.Any]]
-        ] = {}
+        # Bodies on the link; set with it.
+        self.bodies: link_bodies.LinkBodies
+        # Calls that wait for their answer, by call id.
+        self.pending: dict[int, _PendingCall] = {}
         # Number of calls that wait for the link or for an answer.
         self.use_count = 0
         self.read_task: asyncio.Task[None] | None = None
@@ -75,37 +113,62 @@
     ) -> None:
         """Deliver an answer to its pending call."""
         self.last_received_at = clock.recent()
-        if not isinstance(message, messages.Answer | messages.TakeReply):
-            _LOG.warning('Unexpected message %s.', type(message).__name__)
-            return
-        if not message.call_id:
-            # The reply to a ping, or the last message of the link.
-            if (
-                isinstance(message, messages.Answer)
-                and message.kind is errors.ErrorKind.STOPPING
-            ):
+        match message:
+            case messages.BodyOffer():
+                self._on_offer(link, message)
+            case messages.BodyPart():
+                self.bodies.on_part(message)
+            case messages.BodyGrant():
+                self.bodies.on_grant(message)
+            case messages.Answer(call_id=0, kind=errors.ErrorKind.STOPPING):
                 self.on_end(link, message)
-            return
-        sent_link, future = self.pending.get(message.call_id, (None, None))
-        if future is None or future.done() or sent_link is not link:
-            _STRAY_ANSWERS.inc()
-            return
+            case messages.Answer(call_id=0) | messages.TakeReply(call_id=0):
+                # The reply to a ping.
+                pass
+            case messages.Answer() | messages.TakeReply():
+                self._on_reply(link, message)
+            case _:
+                _LOG.warning('Unexpected message %s.', type(message).__name__)
+
+    def _on_offer(
+        self, link: link_module.Link, offer: messages.BodyOffer
+    ) -> None:
+        """Receive the body of an answer when there is room for it."""
+        pending = self.pending.get(offer.call_id)
+        if pending is None or pending.future.done():
+            with contextlib.suppress(errors.LinkError):
+                link.send(messages.Cancel(offer.call_id))
+        elif offer.size > self.bodies.budget.total_bytes:
+            pending.fail(errors.ErrorKind.ANSWER_TOO_LARGE)
+            link.send(messages.Cancel(offer.call_id))
+        else:
+            self.bodies.on_offer(offer, pending.started_at)
+
+    def _on_reply(
+        self,
+        link: link_module.Link,
+        message: messages.Answer | messages.TakeReply,
+    ) -> None:
+        pending = self.pending.get(message.call_id)
         if (
-            isinstance(message, messages.Answer)
-            and message.kind is errors.ErrorKind.PEER_LOST
+            pending is None
+            or pending.future.done()
+            or (pending.link is not link)
         ):
-            # The owner stops, and has cut the call.
-            future.set_exception(
-                errors.RequestError(message.kind, message.detail)
-            )
+            _STRAY_ANSWERS.inc()
             return
-        try:
-            if isinstance(message, messages.Answer):
+        if isinstance(message, messages.Answer):
+            if message.kind is errors.ErrorKind.PEER_LOST:
+                # The owner stops, and has cut the call.
+                pending.fail(message.kind, message.detail)
+                return
+            try:
                 answers.check_status(message)
-        except errors.RequestError as e:
-            future.set_exception(e)
-            return
-        future.set_result(message)
+            except errors.RequestError as e:
+                pending.future.set_exception(e)
+                return
+            self.bodies.take(message)
+        pending.future.set_result(message)
 
     def on_end(self, link: link_module.Link, message: messages.Answer) -> None:
         """Close a link that the owner reads no more.
@@ -122,11 +185,13 @@
         retry_after_ms: int = 0,
     ) -> None:
         """Fail the pending calls that were sent over a link."""
-        for sent_link, future in self.pending.values():
-            if sent_link is link and not future.done():
-                future.set_exception(
-                    errors.RequestError(kind, retry_after_ms=retry_after_ms)
-                )
+        for pending in self.pending.values():
+            if pending.link is not link:
+                continue
+            if pending.is_unsent and kind is errors.ErrorKind.PEER_LOST:
+                pending.fail(errors.ErrorKind.UPSTREAM_UNREACHABLE)
+            else:
+                pending.fail(kind, retry_after_ms=retry_after_ms)
 
     def check_silence(self, now: float) -> None:
         """Ping a silent peer, or abort the link if a ping was not answered."""
@@ -148,7 +213,9 @@
             self.pinged_at = 0.0
             link.abort()
 
-    async def read(self, link: link_module.Link) -> None:
+    async def read(
+        self, link: link_module.Link, bodies: link_bodies.LinkBodies
+    ) -> None:
         """Read from the link until it ends, then fail the calls sent over it.
 
         A closed link may take a long time to end if the peer does not read.
@@ -159,6 +226,7 @@
                 functools.partial(self.on_message, link)
             )
         finally:
+            bodies.close()
             self._fail_calls(link, errors.ErrorKind.PEER_LOST)
 
 
@@ -166,9 +234,14 @@
     """Sends calls to owner nodes."""
 
     def __init__(
-        self, identity: link_module.Identity, local_host: str
+        self,
+        identity: link_module.Identity,
+        local_host: str,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.identity = identity
+        # Bounds what the process holds; None selects one for each peer.
+        self.budget = budget
         # Source address of outgoing links.
         self.local_host = local_host
         self.peers: dict[str, _Peer] = {}
@@ -217,7 +290,7 @@
     ) -> typing.Any:
         peer = self.peers.get(address)
         if peer is None:
-            peer = self.peers[address] = _Peer(address)
+            peer = self.peers[address] = _Peer(address, self.budget)
         peer.use_count += 1
         try:
             link = await self._get_link(peer, connect_timeout_s)
@@ -233,15 +306,22 @@
         timeout_s: float,
     ) -> typing.Any:
         request.call_id = next(self.call_ids)
-        future: asyncio.Future[typing.Any]
-        future = asyncio.get_running_loop().create_future()
-        peer.pending[request.call_id] = link, future
-        timer = asyncio.get_running_loop().call_later(
-            timeout_s, _fail_with_timeout, future
-        )
+        loop = asyncio.get_running_loop()
+        pending = _PendingCall(link, loop.create_future(), clock.recent())
+        peer.pending[request.call_id] = pending
+        timer = loop.call_later(timeout_s, pending.time_out)
+        sending: asyncio.Task[None] | None = None
         try:
-            link.send(request)
-            return await future
+            if isinstance(request, messages.Call) and (
+                peer.bodies.sends_in_parts(request.body)
+            ):
+                pending.is_unsent = True
+                sending = asyncio.create_task(
+                    _send_in_parts(peer.bodies, pending, request)
+                )
+            else:
+                link.send(request)
+            return await pending.future
         except errors.LinkError as e:
             raise errors.RequestError(
                 errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
@@ -254,6 +334,25 @@
         finally:
             timer.cancel()
             del peer.pending[request.call_id]
+            self._end_bodies(peer, pending, request.call_id, sending)
+
+    def _end_bodies(
+        self,
+        peer: _Peer,
+        pending: _PendingCall,
+        call_id: int,
+        sending: asyncio.Task[None] | None,
+    ) -> None:
+        """End what is still being sent or received for a call."""
+        if sending is not None:
+            sending.cancel()
+        is_half_received = peer.link is pending.link and peer.bodies.forget(
+            call_id
+        )
+        if is_half_received or pending.is_unsent:
+            # The owner drops the call, or its answer.
+            with contextlib.suppress(errors.LinkError):
+                pending.link.send(messages.Cancel(call_id))
 
     async def _get_link(
         self, peer: _Peer, timeout_s: float
@@ -291,9 +390,10 @@
                     errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail
                 ) from e
             peer.link = link
+            peer.bodies = link_bodies.LinkBodies(link, peer.budget)
             peer.last_received_at = clock.recent()
             peer.pinged_at = 0.0
-            peer.read_task = asyncio.create_task(peer.read(link))
+            peer.read_task = asyncio.create_task(peer.read(link, peer.bodies))
 
     def close_links_except(self, addresses: set[str]) -> None:
         """Close unused links to nodes that are not at these addresses."""
@@ -321,8 +421,21 @@
         }
 
 
-def _fail_with_timeout(future: asyncio.Future[typing.Any]) -> None:
-    if not future.done():
-        future.set_exception(
-            errors.RequestError(errors.ErrorKind.UPSTREAM_TIMEOUT)
+async def _send_in_parts(
+    bodies: link_bodies.LinkBodies, pending: _PendingCall, call: messages.Call
+) -> None:
+    """Send a call behind its body, and fail it if the link is lost."""
+    try:
+        await bodies.send(call.call_id, call.body)
+        passed_ms = (clock.recent() - pending.started_at) * 1000
+        bodies.link.send(
+            msgspec.structs.replace(
+                call,
+                body=b'',
+                body_bytes=len(call.body),
+                deadline_ms=max(1, int(call.deadline_ms - passed_ms)),
+            )
         )
+        pending.is_unsent = False
+    except errors.LinkError as e:
+        pending.fail(errors.ErrorKind.UPSTREAM_UNREACHABLE, e.detail)
--- a/godwitstall/node/program.py
+++ b/godwitstall/node/program.py
@@ -75,6 +75,7 @@
             },
             self.entry.respond_to_error,
             options.max_client_connections,
+            self.budget,
         )
         if options.metrics_address:
             self.listener.handlers[options.metrics_address] = serve_admin
--- a/godwitstall/node/requests/digests.py
+++ b/godwitstall/node/requests/digests.py
@@ -17,8 +17,9 @@
 
 
 def of_parts(*parts: bytes) -> bytes:
-    """Return the digest of a sequence of parts."""
-    encoded = b''.join(
-        len(part).to_bytes(_LENGTH_BYTES, 'big') + part for part in parts
-    )
-    return hashlib.sha256(encoded).digest()
+    """Return the digest of a sequence of parts, without a copy of them."""
+    digest = hashlib.sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(_LENGTH_BYTES, 'big'))
+        digest.update(part)
+    return digest.digest()
--- a/godwitstall/node/upstreams/upstream.py
+++ b/godwitstall/node/upstreams/upstream.py
@@ -14,6 +14,7 @@
 import math
 import typing
 
+from godwitstall import byte_budget
 from godwitstall import clock
 from godwitstall import decisions
 from godwitstall import errors
@@ -77,8 +78,11 @@
         contexts: context.Contexts,
         on_change: OnChange,
         framing: upstream_answer.Framing | None = None,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.framing = framing
+        # Bounds what the process holds; None selects one for answers alone.
+        self.budget = budget
         self.options = options
         self.contexts = contexts
         # Called after each change of state or slots.
@@ -204,6 +208,7 @@
             self.options.max_connections or announcement.connections,
             self.options.max_answer_bytes,
             self.framing,
+            self.budget,
         )
         self.limit = concurrency.ConcurrencyLimit.from_config(
             self.options.limit_policy, self.slots
--- a/godwitstall/node/upstreams/upstream_client.py
+++ b/godwitstall/node/upstreams/upstream_client.py
@@ -23,9 +23,8 @@
     'upstream_connections_total', 'Connections opened to the upstream.'
 )
 
-# Maximum size of all incomplete answers together, bytes. An upstream that
-# sends endless answers on many connections must not exhaust the memory of the
-# node, which the platform limits to 200 MB.
+# Maximum size of all incomplete answers together, bytes, for a client without
+# the budget of its process.
 MAX_BUFFERED_BYTES = 32 * 1024 * 1024
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -41,6 +40,7 @@
         max_connections: int,
         max_answer_bytes: int,
         framing: upstream_answer.Framing | None = None,
+        budget: byte_budget.ByteBudget | None = None,
     ) -> None:
         self.framing = framing or upstream_answer.Framing()
         self.host = host
@@ -54,9 +54,11 @@
         self.idle: list[upstream_connection.UpstreamConnection] = []
         # Connections that are running a request.
         self.busy: set[upstream_connection.UpstreamConnection] = set()
-        self.budget = byte_budget.ByteBudget(
-            'answers', MAX_BUFFERED_BYTES, self.busy
+        # That of the process, or one of its own.
+        self.budget = budget or byte_budget.ByteBudget(
+            'answers', MAX_BUFFERED_BYTES
         )
+        self.budget.include(self.busy)
         # Number of connections that are being opened for a request.
         self.opening_count = 0
 
@@ -89,17 +91,18 @@
             except errors.RequestError:
                 self._release(connection)
                 raise
-        request = b'%s %s HTTP/1.1\r\nhost: %s\r\n%s' % (
+        head = b'%s %s HTTP/1.1\r\nhost: %s\r\n%scontent-length: %d\r\n\r\n'
+        head %= (
             method.encode(),
             path.encode('latin-1'),
             host or b'%s:%d' % (self.host.encode(), self.port),
             header_block,
+            len(body),
         )
-        request += b'content-length: %d\r\n\r\n' % len(body) + body
         self.busy.add(connection)
         is_complete = False
         try:
-            future = connection.start(request, method == 'HEAD', request_id)
+            future = connection.start(head, method == 'HEAD', request_id, body)
             timer = asyncio.get_running_loop().call_later(
                 max(0.0, deadline - clock.recent()),
                 connection.fail,
@@ -196,3 +199,4 @@
         for connection in self.idle:
             connection.close()
         self.idle.clear()
+        self.budget.exclude(self.busy)
--- a/godwitstall/node/upstreams/upstream_connection.py
+++ b/godwitstall/node/upstreams/upstream_connection.py
@@ -14,7 +14,7 @@
 
 Example:
     connection = UpstreamConnection(1024 * 1024, framing, budget)
-    answer = await connection.start(request, is_head=False)
+    answer = await connection.start(head, is_head=False, body=body)
 """
 
 import asyncio
@@ -29,6 +29,7 @@
 from godwitstall import errors
 from godwitstall import metrics
 from godwitstall.node.upstreams import upstream_answer
+from godwitstall import paced_writer
 
 _STRAY_BYTES = metrics.counter(
     'upstream_stray_bytes_total',
@@ -56,6 +57,14 @@
 # an answer to another node is bounded, and an oversized frame ends the link.
 MAX_HEADER_BYTES = 64 * 1024
 
+# Bytes by which an answer without Content-Length grows between two checks of
+# the room, and as a fraction of what the process may hold if that is less.
+_GROWTH_BYTES = 1024 * 1024
+_GROWTH_FRACTION = 1 / 32
+
+# Bytes that are read from the connection at once.
+_READ_BYTES = 64 * 1024
+
 # Maximum number of bytes outside of the body per byte of the body. A chunk of
 # one byte has five.
 _MAX_OVERHEAD_PER_BODY_BYTE = 8
@@ -103,11 +112,14 @@
         # Maximum idle time of the connection, seconds.
         self.idle_limit_s = DEFAULT_IDLE_LIMIT_S
         self.transport: asyncio.Transport | None = None
+        # Set with the transport.
+        self.writer: paced_writer.PacedWriter
         self.is_closed = False
         # Time at which the last answer was complete, seconds.
         self.idle_since = 0.0
-        # Time of the last read, seconds.
+        # Time of the last read, and of the current request, seconds.
         self.moved_at = 0.0
+        self.started_at = 0.0
         # Whether the connection can carry another request.
         self.is_reusable = True
         self.waiter: asyncio.Future[upstream_answer.UpstreamAnswer] | None = (
@@ -123,6 +135,12 @@
         self.has_all_headers = False
         self.headers_at = 0.0
         self.body = bytearray()
+        # Room for a body whose length is known, if it is not small.
+        self.reservation: byte_budget.Reservation | None = None
+        # Size up to which another body may grow, bytes, and the request for
+        # more, if there is none.
+        self.allowed_bytes = budget.unreserved_bytes
+        self.growth: byte_budget.Reservation | None = None
         # Number of bytes received since the request, and how many of them
         # belong to bodies.
         self.received_bytes = 0
@@ -133,6 +151,18 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = typing.cast(asyncio.Transport, transport)
+        # asyncio reads 256 KiB at once by default.
+        transport_options: typing.Any = transport
+        transport_options.max_size = _READ_BYTES
+        self.writer = paced_writer.PacedWriter(transport)
+
+    def pause_writing(self) -> None:
+        """Send no more of the request; the upstream reads slowly."""
+        self.writer.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with the request."""
+        self.writer.resume()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_closed = True
@@ -235,10 +265,15 @@
         """Close the connection at once, dropping unsent bytes."""
         self.is_closed = True
         if self.transport is not None:
+            self.writer.clear()
             self.transport.abort()
 
     def start(
-        self, request: bytes, is_head: bool, request_id: bytes = b''
+        self,
+        head: bytes,
+        is_head: bool,
+        request_id: bytes = b'',
+        body: bytes = b'',
     ) -> asyncio.Future[upstream_answer.UpstreamAnswer]:
         """Send a request and return a future for its answer."""
         assert self.transport is not None
@@ -246,13 +281,13 @@
         self.has_all_headers = False
         self.parser = httptools.HttpResponseParser(self)
         self.has_answer_bytes = False
-        self.moved_at = clock.recent()
+        self.moved_at = self.started_at = clock.recent()
         self.received_bytes = 0
         self.received_body_bytes = 0
         self.bytes_since_body = 0
         self.is_head = is_head
         self.waiter = asyncio.get_running_loop().create_future()
-        self.transport.write(request)
+        self.writer.write(head, body)
         return self.waiter
 
     # Callbacks of the httptools parser.
@@ -269,6 +304,7 @@
         self.header_bytes = 0
         self.has_all_headers = False
         self.body = bytearray()
+        self._release_room()
 
     def on_status(self, reason: bytes) -> None:
         self.reason += reason
@@ -311,6 +347,65 @@
             # The parser does not know that no body follows.
             self.is_reusable = False
             self._finish()
+            return
+        if self._content_length() > self.budget.unreserved_bytes:
+            self._reserve(self._content_length())
+
+    def _reserve(self, size: int) -> None:
+        """Reserve room for the whole body; until then read nothing."""
+        if size > self.budget.total_bytes:
+            self.abort_oversized()
+            return
+        self.reservation = self.budget.reserve(
+            size, self.started_at, self._resume_reading
+        )
+        if not self.reservation.is_granted:
+            self._pause_reading()
+
+    def _pause_reading(self) -> None:
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def _resume_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def _check_growth(self) -> None:
+        """Read a body of unknown length further only if there is room."""
+        if self.growth is not None or len(self.body) <= self.allowed_bytes:
+            return
+        growth = self.budget.reserve(
+            self._step_bytes(), self.started_at, self._on_growth_granted
+        )
+        if growth.is_granted:
+            self._allow(growth)
+        else:
+            self.growth = growth
+            self._pause_reading()
+
+    def _on_growth_granted(self) -> None:
+        growth, self.growth = self.growth, None
+        if growth is not None:
+            self._allow(growth)
+            self._resume_reading()
+
+    def _allow(self, growth: byte_budget.Reservation) -> None:
+        # The budget counts the body as it grows.
+        growth.release()
+        self.allowed_bytes += growth.size
+
+    def _step_bytes(self) -> int:
+        """Return how much a body of unknown length may grow at once."""
+        return min(
+            _GROWTH_BYTES, int(self.budget.limit_bytes * _GROWTH_FRACTION)
+        )
+
+    def _release_room(self) -> None:
+        for reservation in (self.reservation, self.growth):
+            if reservation is not None:
+                reservation.release()
+        self.reservation = self.growth = None
+        self.allowed_bytes = self.budget.unreserved_bytes
 
     def _holds_other_answer(self) -> bool:
         """Return whether the head holds the start of another answer."""
@@ -331,6 +426,8 @@
             self.abort_oversized()
             return
         self.body += body
+        if self.reservation is None:
+            self._check_growth()
 
     def _content_length(self) -> int:
         """Return the body length from Content-Length, 0 if there is none."""
@@ -396,7 +493,8 @@
                 self._return_answer()
 
     def _return_answer(self) -> None:
-        if not self._allows_reuse():
+        if not self._allows_reuse() or self.writer.is_busy():
+            # In the second case the rest of the request is not sent.
             self.is_reusable = False
         keep_alive = upstream_answer.find_header(
             self.answer_headers, b'keep-alive'
@@ -411,28 +509,47 @@
                 upstream_answer.UpstreamAnswer(
                     self.status,
                     self.answer_headers,
-                    bytes(self.body),
+                    self._whole_body(),
                     self.headers_at,
                 )
             )
 
+    def _whole_body(self) -> bytes:
+        """Return the body; a large one must not be copied."""
+        if len(self.body) > _READ_BYTES:
+            return typing.cast(bytes, self.body)
+        return bytes(self.body)
+
     def clear_answer(self) -> None:
         """Free the memory of an answer that was returned or aborted."""
+        self._release_room()
         self.answer_headers = []
         self.body = bytearray()
         self.header_bytes = 0
         self.bytes_since_body = 0
 
     def held_bytes(self) -> int:
-        """Return the size of the answer so far, as ByteBudget counts it."""
+        """Return what is held without a reservation, bytes."""
+        has_room = self.reservation is not None and self.reservation.is_granted
+        return self._outside_bytes() + (0 if has_room else len(self.body))
+
+    def _outside_bytes(self) -> int:
+        """Return the size of what is not the body, bytes."""
         return (
-            len(self.body)
-            + self.header_bytes
+            self.header_bytes
             + len(self.answer_headers) * byte_budget.HEADER_OBJECT_BYTES
             + self.bytes_since_body
         )
 
     def release_bytes(self) -> None:
-        """Abort the answer, so that others can be received."""
-        self.abort_oversized()
-        self.clear_answer()
+        """Abort an answer that has no end in sight.
+
+        It is one with many bytes outside of its body, or one of unknown length
+        that waits for more room, unless its request is the oldest.
+        """
+        is_stuck = self.growth is not None and not self.budget.is_oldest(
+            self.growth
+        )
+        if is_stuck or self._outside_bytes() > self.budget.unreserved_bytes:
+            self.abort_oversized()
+            self.clear_answer()
--- a/godwitstall/schema/calls.py
+++ b/godwitstall/schema/calls.py
@@ -97,6 +97,8 @@
     # Share of the requests of this kind that the first node of the chain
     # admitted, 0 to 1; 1 if it admits all.
     admitted_share: float = 1.0
+    # Size of a body that was sent ahead in parts, bytes; 0 if body is whole.
+    body_bytes: int = 0
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
@@ -131,6 +133,8 @@
     own_time_ms: float = 0.0
     # Room of the services that the request's chain needs.
     rooms: list[ServiceRoom] = msgspec.field(default_factory=list)
+    # Size of a body that was sent ahead in parts, bytes; 0 if body is whole.
+    body_bytes: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
@@ -162,3 +166,27 @@
     has_ledger: bool = False
     # Recommended delay before a retry, milliseconds.
     retry_after_ms: int = 0
+
+
+class BodyOffer(msgspec.Struct, array_like=True, tag=12):
+    """Asks for room for the body of a Call or an Answer."""
+
+    # Number of the call, unique on its link.
+    call_id: int = 0
+    # Size of the body, bytes.
+    size: int = 0
+
+
+class BodyGrant(msgspec.Struct, array_like=True, tag=13):
+    """Allows the body that was offered to be sent."""
+
+    # Number of the call, unique on its link.
+    call_id: int = 0
+
+
+class BodyPart(msgspec.Struct, array_like=True, tag=14):
+    """A part of a body, ahead of its Call or Answer."""
+
+    # Number of the call, unique on its link.
+    call_id: int = 0
+    data: bytes = b''
--- a/godwitstall/schema/handshake.py
+++ b/godwitstall/schema/handshake.py
@@ -19,6 +19,8 @@
     sender_id: str = ''
     # Random bytes that the proof of the peer must cover.
     nonce: bytes = b''
+    # Whether the sender receives large bodies in parts.
+    takes_parts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,6 +33,8 @@
     nonce: bytes = b''
     # HMAC-SHA-256 with the fleet secret over the nonce of the peer.
     proof: bytes = b''
+    # Whether the sender receives large bodies in parts.
+    takes_parts: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -103,6 +103,8 @@
     max_body_bytes: int = 1024 * 1024
     # Maximum size of a response body, bytes.
     max_answer_bytes: int = 1024 * 1024
+    # Maximum size of all requests and answers that the process holds, bytes.
+    max_held_bytes: int = 128 * 1024 * 1024
     # Maximum size of request line and headers together, bytes.
     max_header_bytes: int = 32 * 1024
     # Maximum number of requests queued for the upstream.
@@ -252,8 +254,9 @@
     'heartbeat_s': (0.05, 5.0),
     'grant_interval_ms': (10, 5000),
     'grant_wait_ms': (0, 10_000),
-    'max_body_bytes': (1024, 8 * 1024 * 1024),
-    'max_answer_bytes': (1024, 8 * 1024 * 1024),
+    'max_body_bytes': (1024, 1024 * 1024 * 1024),
+    'max_answer_bytes': (1024, 1024 * 1024 * 1024),
+    'max_held_bytes': (1024 * 1024, 64 * 1024 * 1024 * 1024),
     'max_header_bytes': (1024, 1024 * 1024),
     'max_queue': (1, 1_000_000),
     'max_queue_wait_ms': (1, 600_000),
--- a/tests/crowds/machines.py
+++ b/tests/crowds/machines.py
@@ -50,6 +50,9 @@
 _POLL_INTERVAL_S = 0.05
 _HEARTBEAT_INTERVAL_S = 0.5
 
+# Time in which all nodes learn of the upstream, seconds.
+_SPREAD_S = 1.0
+
 _HOST = 'back.example'
 _BLOCK = bytes(range(256)) * 256
 
@@ -145,6 +148,8 @@
         self.read_pause_s = 0.0
         # Whether bodies of answers are sent in chunks.
         self.sends_chunks = False
+        # Set by each heartbeat that is acknowledged.
+        self.is_acknowledged = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.heartbeat_task: asyncio.Task[None] | None = None
 
@@ -172,13 +177,15 @@
         for sequence in range(1, 10_000):
             client = http_client.Client(self.node_address, 1)
             with contextlib.suppress(http_client.CallError):
-                await client.request(
+                response = await client.request(
                     'POST',
                     '/-/rpc?call=instances.heartbeat&of=i-1',
                     [],
                     json.dumps(content | {'sequence': sequence}).encode(),
                     1.0,
                 )
+                if response.status == 200:
+                    self.is_acknowledged.set()
             client.close()
             await asyncio.sleep(_HEARTBEAT_INTERVAL_S)
 
@@ -292,9 +299,13 @@
             await self.upstream.start()
             async with asyncio.timeout(_START_TIMEOUT_S):
                 await self._configure()
+                # A node that knows no upstream yet would refuse new requests
+                # for seconds after the first one.
+                self.upstream.is_acknowledged.clear()
+                await self.upstream.is_acknowledged.wait()
+                await asyncio.sleep(_SPREAD_S)
                 for machine in (self.front, self.back):
-                    while (await self._get(machine, 1)).status != 200:
-                        await asyncio.sleep(_POLL_INTERVAL_S)
+                    await self._wait_for_routes(machine)
         except BaseException:
             await self.__aexit__()
             raise
@@ -402,6 +413,14 @@
             client.close()
             await asyncio.sleep(_POLL_INTERVAL_S)
 
+    async def _wait_for_routes(self, machine: Machine) -> None:
+        """Wait until a node serves both routes."""
+        upload = [head('POST', '/put/x', 'content-length: 1'), b'x']
+        while (await self._get(machine, 1)).status != 200:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+        while (await self.exchange(machine, upload)).status != 200:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
     async def _get(self, machine: Machine, size: int) -> Answer:
         request = head('GET', f'/get/{size}', 'connection: close')
         return await self.exchange(machine, [request])
--- a/tests/recorded/test_recorded.py
+++ b/tests/recorded/test_recorded.py
@@ -24,6 +24,8 @@
     'StateUpdate': ('has_evacuations', 'evacuations'),
     'MachineSnapshot': ('evacuations',),
     'ServiceRule': ('cold_start_ms', 'cold_per_s'),
+    'Hello': ('takes_parts',),
+    'HelloReply': ('takes_parts',),
 }
 
 
