Map large blocks of memory one by one

What callers saw: nothing yet; beside 256 clients with bodies in chunks of 64 KiB that stop short, a node held 96 MiB of bodies in 202 MB of memory (bound 200 MB, tests/crowds/test_machines.py::test_many_bodies[large_chunks]).

Cause: glibc raises its threshold for mapped blocks whenever a mapped block is freed. Bodies that grow beside each other then grow in the heap and leave holes.

Change: mallopt() fixes the threshold at 128 KiB when a program starts. Reads from sockets have 64 KiB, so that they need no mapping.

--- a/godwitstall/event_loop.py
+++ b/godwitstall/event_loop.py
@@ -15,6 +15,7 @@
 import selectors
 import typing
 
+from godwitstall import allocator
 from godwitstall import clock
 
 # While callbacks are ready, the loop polls once in this many iterations, so an
@@ -114,6 +115,7 @@
 
 def run(main: collections.abc.Coroutine[typing.Any, typing.Any, None]) -> None:
     """Run a program until it completes, like asyncio.run()."""
+    allocator.map_large_blocks()
     clock.set_caching(True)
     try:
         with asyncio.Runner(loop_factory=new_loop) as runner:
