Keep further header lines as bytes until a head is complete

Cause: each header line was kept as a tuple and two bytes objects, 30 times the size of a short line, and the heads of all clients are read at once.

Change: the first 64 headers of a request are objects as before, further lines are one bytearray until the request is complete.

--- a/godwitstall/http/parser.py
+++ b/godwitstall/http/parser.py
@@ -25,6 +25,9 @@
 # A Content-Length with more digits is rejected without being converted.
 _MAX_CONTENT_LENGTH_DIGITS = 15
 
+# Headers of a request that are kept as objects until it is complete.
+_MAX_HEADER_OBJECTS = 64
+
 # Size up to which a body that arrived in parts is copied into one object.
 _COPIED_BODY_BYTES = 64 * 1024
 
@@ -76,7 +79,10 @@
 
     def _reset(self) -> None:
         self.url = b''
+        # The first headers, and the lines 'name:value' of the others. As
+        # objects of their own, short ones cost many times their size.
         self.headers: http_messages.Headers = []
+        self.other_header_lines = bytearray()
         self.is_in_headers = True
         # Whether the client waits for a response before it sends the body.
         self.expects_continue = False
@@ -105,6 +111,7 @@
         return (
             self.header_bytes
             + len(self.headers) * byte_budget.HEADER_OBJECT_BYTES
+            + len(self.other_header_lines)
             + self.bytes_since_body
             + self.body_bytes
         )
@@ -155,7 +162,23 @@
             # Trailer fields must not be merged into the headers (RFC 9110,
             # section 6.5.1).
             return
-        self.headers.append((name.lower(), value))
+        self._add_header(name.lower(), value)
+
+    def _add_header(self, name: bytes, value: bytes) -> None:
+        if len(self.headers) < _MAX_HEADER_OBJECTS:
+            self.headers.append((name, value))
+        else:
+            # The parser lets no line end into a value.
+            self.other_header_lines += b'%b:%b\n' % (name, value)
+
+    def _all_headers(self) -> http_messages.Headers:
+        if not self.other_header_lines:
+            return self.headers
+        headers = list(self.headers)
+        for line in bytes(self.other_header_lines).split(b'\n')[:-1]:
+            name, _, value = line.partition(b':')
+            headers.append((name, value))
+        return headers
 
     def on_headers_complete(self) -> None:
         self.is_in_headers = False
@@ -185,8 +208,12 @@
         if url.host:
             # It replaces the header (RFC 9112, section 3.2.2).
             host = url.host + (b':%d' % url.port if url.port else b'')
-            headers = [(n, v) for n, v in self.headers if n != b'host']
-            self.headers = [(b'host', host), *headers]
+            headers = [(b'host', host)]
+            headers += [(n, v) for n, v in self._all_headers() if n != b'host']
+            self.headers = []
+            self.other_header_lines.clear()
+            for name, value in headers:
+                self._add_header(name, value)
 
     def _find_problem(self) -> errors.ErrorKind | None:
         """Return why the request cannot be served, None if it can."""
@@ -194,7 +221,7 @@
         header_size = len(self.url)
         host_count = 0
         has_body = False
-        for name, value in self.headers:
+        for name, value in self._all_headers():
             header_size += len(name) + len(value) + _HEADER_LINE_OVERHEAD_BYTES
             if name not in _CHECKED_HEADERS:
                 continue
@@ -263,7 +290,7 @@
         request = http_messages.Request(
             self.parser.get_method().decode('ascii', 'replace'),
             self.url.decode('latin-1'),
-            self.headers,
+            self._all_headers(),
             self._whole_body(),
             clock.recent(),
         )
