Count a client as active while it reads what the kernel still delivers

Cause: the idle timeout and the wait behind the last response counted from the time at which a response was passed to the kernel.

Change: while a response above 64 KiB is on its way, both count from the last time at which the client took some of it. A client that reads nothing is closed as before. Smaller responses cost no call of the kernel.

--- a/godwitstall/http/delivery.py
+++ b/godwitstall/http/delivery.py
@@ -16,6 +16,10 @@
 
 _INT = struct.Struct('i')
 
+# The kernel may still have a response of this size when the process has none,
+# bytes. Smaller ones are delivered or lost within a moment.
+_LARGE_BYTES = 64 * 1024
+
 # Time over which the rate of a peer is measured, seconds.
 _RATE_WINDOW_S = 1.0
 
@@ -34,6 +38,12 @@
         # Time of the last update at which fewer bytes were on their way, or
         # none, seconds.
         self.moved_at = clock.recent()
+        # Time of the last update at which it took some of them, seconds.
+        self.progress_at = 0.0
+        # What the peer had taken and what was written at the last update,
+        # bytes.
+        self._taken_bytes = 0
+        self._written_bytes = 0
         # Bytes that the peer takes in a second, None if it keeps up.
         self.rate: float | None = None
         # Start of the window in which the rate is measured, seconds, and what
@@ -53,16 +63,25 @@
         many bytes, so what the kernel has not delivered is counted as well.
         """
         unsent_bytes = self.unsent_bytes()
-        pending_bytes = unsent_bytes
-        if unsent_bytes:
-            pending_bytes += self._kernel_bytes()
+        written_bytes = self.writer.total_bytes - self._written_bytes
+        is_large = written_bytes > _LARGE_BYTES
+        if not (unsent_bytes or self.pending_bytes or is_large):
+            self.moved_at = now
+            return
+        pending_bytes = unsent_bytes + self._kernel_bytes()
+        taken_bytes = self.writer.total_bytes - pending_bytes
+        if taken_bytes > self._taken_bytes:
+            self.progress_at = now
         if not unsent_bytes or pending_bytes < self.pending_bytes:
             self.moved_at = now
         self.pending_bytes = pending_bytes
-        self._update_rate(now, unsent_bytes)
+        self._taken_bytes = taken_bytes
+        self._written_bytes = self.writer.total_bytes
+        self._update_rate(now, unsent_bytes, taken_bytes)
 
-    def _update_rate(self, now: float, unsent_bytes: int) -> None:
-        taken_bytes = self.writer.total_bytes - self.pending_bytes
+    def _update_rate(
+        self, now: float, unsent_bytes: int, taken_bytes: int
+    ) -> None:
         passed_s = now - self._window_at
         if unsent_bytes and passed_s < _RATE_WINDOW_S:
             return
--- a/godwitstall/http/lifetime.py
+++ b/godwitstall/http/lifetime.py
@@ -82,7 +82,11 @@
 
     def is_idle_too_long(self, now: float) -> bool:
         """Return whether the client has kept the connection for too long."""
-        return now - self.last_active_at > self.limits.idle_timeout_s
+        return now - self._active_at() > self.limits.idle_timeout_s
+
+    def _active_at(self) -> float:
+        """Return when a response was last written, or read by the client."""
+        return max(self.last_active_at, self.delivery.progress_at)
 
     def is_body_late(self, now: float) -> bool:
         """Return whether nothing of a body has arrived for too long."""
@@ -91,7 +95,7 @@
     def has_lingered(self, now: float) -> bool:
         """Return whether the client has had time for the last response."""
         return (
-            now - self.last_active_at > _LINGER_S
+            now - self._active_at() > _LINGER_S
             and not self.transport.get_write_buffer_size()
         )
 
