Split off the checks of setting values and the room of answers

A file whose max_body_bytes is above three quarters of max_held_bytes, or max_answer_bytes above all of it, is refused with a line for each.

Evidence: tests/settings (one new case), tests/base and tests/node/test_bytes_behind_a_body.py passed.

--- a/godwitstall/ctl/commands.py
+++ b/godwitstall/ctl/commands.py
@@ -18,7 +18,7 @@
 from godwitstall.ctl import story
 from godwitstall import errors
 from godwitstall import messages
-from godwitstall import settings
+from godwitstall import setting_values
 
 _KEY_BYTES = 32
 _HTTP_TIMEOUT_S = 5.0
@@ -496,7 +496,7 @@
     """Dump the state of a process from its admin listener."""
     del client
     try:
-        settings.check_address(address)
+        setting_values.check_address(address)
     except ValueError as e:
         raise CommandError(f'ADDRESS {e}') from e
     try:
--- a/godwitstall/node/upstreams/upstream_connection.py
+++ b/godwitstall/node/upstreams/upstream_connection.py
@@ -28,6 +28,7 @@
 from godwitstall import clock
 from godwitstall import errors
 from godwitstall import metrics
+from godwitstall.node.upstreams import answer_room
 from godwitstall.node.upstreams import upstream_answer
 from godwitstall import paced_writer
 
@@ -57,11 +58,6 @@
 # an answer to another node is bounded, and an oversized frame ends the link.
 MAX_HEADER_BYTES = 64 * 1024
 
-# Bytes by which an answer without Content-Length grows between two checks of
-# the room, and as a fraction of what the process may hold if that is less.
-_GROWTH_BYTES = 1024 * 1024
-_GROWTH_FRACTION = 1 / 32
-
 # Bytes that are read from the connection at once.
 _READ_BYTES = 64 * 1024
 
@@ -117,9 +113,8 @@
         self.is_closed = False
         # Time at which the last answer was complete, seconds.
         self.idle_since = 0.0
-        # Time of the last read, and of the current request, seconds.
+        # Time of the last read, seconds.
         self.moved_at = 0.0
-        self.started_at = 0.0
         # Whether the connection can carry another request.
         self.is_reusable = True
         self.waiter: asyncio.Future[upstream_answer.UpstreamAnswer] | None = (
@@ -135,12 +130,7 @@
         self.has_all_headers = False
         self.headers_at = 0.0
         self.body = bytearray()
-        # Room for a body whose length is known, if it is not small.
-        self.reservation: byte_budget.Reservation | None = None
-        # Size up to which another body may grow, bytes, and the request for
-        # more, if there is none.
-        self.allowed_bytes = budget.unreserved_bytes
-        self.growth: byte_budget.Reservation | None = None
+        self.room = answer_room.AnswerRoom(budget)
         # Number of bytes received since the request, and how many of them
         # belong to bodies.
         self.received_bytes = 0
@@ -281,7 +271,8 @@
         self.has_all_headers = False
         self.parser = httptools.HttpResponseParser(self)
         self.has_answer_bytes = False
-        self.moved_at = self.started_at = clock.recent()
+        self.moved_at = clock.recent()
+        self.room.open(self.transport, self.moved_at)
         self.received_bytes = 0
         self.received_body_bytes = 0
         self.bytes_since_body = 0
@@ -304,7 +295,7 @@
         self.header_bytes = 0
         self.has_all_headers = False
         self.body = bytearray()
-        self._release_room()
+        self.room.release()
 
     def on_status(self, reason: bytes) -> None:
         self.reason += reason
@@ -348,64 +339,8 @@
             self.is_reusable = False
             self._finish()
             return
-        if self._content_length() > self.budget.unreserved_bytes:
-            self._reserve(self._content_length())
-
-    def _reserve(self, size: int) -> None:
-        """Reserve room for the whole body; until then read nothing."""
-        if size > self.budget.total_bytes:
+        if not self.room.reserve(self._content_length()):
             self.abort_oversized()
-            return
-        self.reservation = self.budget.reserve(
-            size, self.started_at, self._resume_reading
-        )
-        if not self.reservation.is_granted:
-            self._pause_reading()
-
-    def _pause_reading(self) -> None:
-        if self.transport is not None:
-            self.transport.pause_reading()
-
-    def _resume_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.resume_reading()
-
-    def _check_growth(self) -> None:
-        """Read a body of unknown length further only if there is room."""
-        if self.growth is not None or len(self.body) <= self.allowed_bytes:
-            return
-        growth = self.budget.reserve(
-            self._step_bytes(), self.started_at, self._on_growth_granted
-        )
-        if growth.is_granted:
-            self._allow(growth)
-        else:
-            self.growth = growth
-            self._pause_reading()
-
-    def _on_growth_granted(self) -> None:
-        growth, self.growth = self.growth, None
-        if growth is not None:
-            self._allow(growth)
-            self._resume_reading()
-
-    def _allow(self, growth: byte_budget.Reservation) -> None:
-        # The budget counts the body as it grows.
-        growth.release()
-        self.allowed_bytes += growth.size
-
-    def _step_bytes(self) -> int:
-        """Return how much a body of unknown length may grow at once."""
-        return min(
-            _GROWTH_BYTES, int(self.budget.limit_bytes * _GROWTH_FRACTION)
-        )
-
-    def _release_room(self) -> None:
-        for reservation in (self.reservation, self.growth):
-            if reservation is not None:
-                reservation.release()
-        self.reservation = self.growth = None
-        self.allowed_bytes = self.budget.unreserved_bytes
 
     def _holds_other_answer(self) -> bool:
         """Return whether the head holds the start of another answer."""
@@ -426,8 +361,7 @@
             self.abort_oversized()
             return
         self.body += body
-        if self.reservation is None:
-            self._check_growth()
+        self.room.check_growth(len(self.body))
 
     def _content_length(self) -> int:
         """Return the body length from Content-Length, 0 if there is none."""
@@ -522,7 +456,7 @@
 
     def clear_answer(self) -> None:
         """Free the memory of an answer that was returned or aborted."""
-        self._release_room()
+        self.room.release()
         self.answer_headers = []
         self.body = bytearray()
         self.header_bytes = 0
@@ -530,8 +464,8 @@
 
     def held_bytes(self) -> int:
         """Return what is held without a reservation, bytes."""
-        has_room = self.reservation is not None and self.reservation.is_granted
-        return self._outside_bytes() + (0 if has_room else len(self.body))
+        body_bytes = 0 if self.room.has_whole() else len(self.body)
+        return self._outside_bytes() + body_bytes
 
     def _outside_bytes(self) -> int:
         """Return the size of what is not the body, bytes."""
@@ -547,9 +481,9 @@
         It is one with many bytes outside of its body, or one of unknown length
         that waits for more room, unless its request is the oldest.
         """
-        is_stuck = self.growth is not None and not self.budget.is_oldest(
-            self.growth
-        )
-        if is_stuck or self._outside_bytes() > self.budget.unreserved_bytes:
+        outside_bytes = self._outside_bytes()
+        if self.room.is_stuck() or (
+            outside_bytes > self.budget.unreserved_bytes
+        ):
             self.abort_oversized()
             self.clear_answer()
--- a/godwitstall/settings.py
+++ b/godwitstall/settings.py
@@ -11,7 +11,6 @@
 import collections.abc
 import dataclasses
 import enum
-import ipaddress
 import pathlib
 import tomllib
 import typing
@@ -19,6 +18,7 @@
 from godwitstall import durations
 from godwitstall import errors
 from godwitstall import messages
+from godwitstall import setting_values
 
 _LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
@@ -239,6 +239,10 @@
     timeout_s: float = 10.0
 
 
+# Part of max_held_bytes that request bodies may take; the rest is kept for the
+# answer to the oldest request.
+_MAX_BODY_SHARE = 0.75
+
 _Options = typing.TypeVar('_Options')
 
 # Name of the table for each options class.
@@ -375,7 +379,7 @@
         try:
             if key.endswith('_s') and isinstance(value, str):
                 value = durations.to_ms(value) / 1000
-            values[key] = _convert(hints[key], value)
+            values[key] = setting_values.convert(hints[key], value)
             _check_range(key, values[key])
         except ValueError as e:
             table_problems.append(f'{where}: {e}')
@@ -399,80 +403,17 @@
     return ''
 
 
-def _convert(type_hint: typing.Any, value: typing.Any) -> typing.Any:
-    typ = getattr(type_hint, '__supertype__', type_hint)
-    if typ is float:
-        if isinstance(value, bool) or not isinstance(value, int | float):
-            raise ValueError(f'must be a number, not {value!r}')
-        return float(value)
-    if typ is int:
-        if isinstance(value, bool) or not isinstance(value, int):
-            raise ValueError(f'must be a whole number, not {value!r}')
-        return value
-    if typ in (str, bool):
-        if not isinstance(value, typ) or value == '':
-            expected = 'a non-empty string' if typ is str else 'true or false'
-            raise ValueError(f'must be {expected}, not {value!r}')
-        return value
-    if typing.get_origin(typ) is list:
-        if not isinstance(value, list) or not all(
-            isinstance(item, str) for item in value
-        ):
-            raise ValueError('must be a list of strings')
-        return value
-    if typing.get_origin(typ) is dict:
-        if not isinstance(value, dict) or not all(
-            isinstance(item, str) for item in value.values()
-        ):
-            raise ValueError('must be a table of strings')
-        return value
-    choices = [member.value for member in typ]
-    if value not in choices:
-        raise ValueError(f'must be one of {", ".join(choices)}, not {value!r}')
-    return typ(value)
-
-
 def _check_range(key: str, value: typing.Any) -> None:
     if key == 'link_address':
-        _check_reachable(value)
+        setting_values.check_reachable(value)
     elif key.endswith('_address'):
-        check_address(value)
+        setting_values.check_address(value)
     if key in _RANGES:
         low, high = _RANGES[key]
         if not low <= value <= high:
             raise ValueError(f'must be from {low} to {high}, not {value}')
 
 
-def check_address(value: str) -> None:
-    """Raise ValueError unless value is an IP address and a port."""
-    host, _, port = value.rpartition(':')
-    is_bracketed = host.startswith('[') and host.endswith(']')
-    try:
-        address = ipaddress.ip_address(host[1:-1] if is_bracketed else host)
-    except ValueError as e:
-        raise ValueError(
-            f'must be an IP address and a port, not {value!r}'
-        ) from e
-    if is_bracketed and address.version == 4:
-        raise ValueError(f'must be an IP address and a port, not {value!r}')
-    if not is_bracketed and address.version == 6:
-        raise ValueError(
-            f'needs brackets around an IPv6 address, not {value!r}'
-        )
-    if not port.isdecimal() or not 1 <= int(port) <= 65_535:
-        raise ValueError(f'has no port from 1 to 65535: {value!r}')
-
-
-def _check_reachable(value: str) -> None:
-    """Raise ValueError unless other processes can connect to an address."""
-    check_address(value)
-    host, _, _ = value.rpartition(':')
-    if ipaddress.ip_address(host.strip('[]')).is_unspecified:
-        raise ValueError(
-            f'must be reachable for other processes, not {value!r}'
-        )
-
-
 def _level_problems(path: pathlib.Path, options: LogOptions) -> list[str]:
     levels = {'level': options.level}
     levels |= {f'parts.{part}': level for part, level in options.parts.items()}
@@ -505,12 +446,12 @@
         )
     for address in fleet.seeds:
         try:
-            _check_reachable(address)
+            setting_values.check_reachable(address)
         except ValueError as e:
             problems.append(f'{path}: fleet.seeds: {e}')
     for slot, address in fleet.control.items():
         try:
-            _check_reachable(address)
+            setting_values.check_reachable(address)
         except ValueError as e:
             problems.append(f'{path}: fleet.control.{slot}: {e}')
     if fleet.control and len(fleet.control) not in (1, 3, 5, 7):
@@ -555,6 +496,21 @@
         addresses.append(options.metrics_address)
     if len(set(addresses)) != len(addresses):
         problems.append(f'{path}: node: two addresses are the same')
+    return problems + _size_problems(path, options)
+
+
+def _size_problems(path: pathlib.Path, options: NodeOptions) -> list[str]:
+    """Report bodies for which the process could never have room."""
+    problems = []
+    if options.max_body_bytes > _MAX_BODY_SHARE * options.max_held_bytes:
+        problems.append(
+            f'{path}: node.max_body_bytes: must be at most three quarters of '
+            'max_held_bytes'
+        )
+    if options.max_answer_bytes > options.max_held_bytes:
+        problems.append(
+            f'{path}: node.max_answer_bytes: must be at most max_held_bytes'
+        )
     return problems
 
 
--- a/tests/settings/test_settings.py
+++ b/tests/settings/test_settings.py
@@ -396,6 +396,17 @@
         "'10.0.0.2:7100'",
         ['fleet.control: contains duplicate addresses'],
     ),
+    _Case(
+        'bodies for which there is never room',
+        'node',
+        '',
+        'max_body_bytes = 101_000_000\nmax_answer_bytes = 150_000_000',
+        [
+            'node.max_body_bytes: must be at most three quarters of '
+            'max_held_bytes',
+            'node.max_answer_bytes: must be at most max_held_bytes',
+        ],
+    ),
     _Case(
         'lease shorter than two heartbeats',
         'node',
