Accept configurations above 64 KiB again

Cause: the parser passes a large body on as the bytearray that it has read, and the log entry of a configuration takes bytes only (KjException from capnp).

Evidence: codec.encode() of ReplaceConfiguration with a bytearray raised KjException; the new test sends a configuration of over 300 kB and reads it back as it was sent.

--- a/godwitstall/http/asgi.py
+++ b/godwitstall/http/asgi.py
@@ -36,7 +36,7 @@
         self.is_received = True
         return {
             'type': 'http.request',
-            'body': self.request.body,
+            'body': bytes(self.request.body),
             'more_body': False,
         }
 
--- a/godwitstall/http/messages.py
+++ b/godwitstall/http/messages.py
@@ -47,7 +47,8 @@
     target: str
     # Names are in lower case.
     headers: Headers
-    # A large one is a bytearray, which saves a copy and is not changed.
+    # A large one is a bytearray, which saves a copy and is not changed. What
+    # needs bytes, such as a schema or an ASGI application, has to convert it.
     body: bytes
     # Time of clock.recent() at which the last byte was received.
     received_at: float
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -258,6 +258,28 @@
     return responses[-1]
 
 
+def test_large_configuration_is_accepted(tmp_path: pathlib.Path) -> None:
+    """Guards against a limit on configurations below that of a body."""
+
+    async def scenario() -> None:
+        async with _running(tmp_path) as platform:
+            content = json.loads(_manifest(3, 2))
+            # It arrives in several parts.
+            content['routes'] |= {
+                f'r{i}': content['routes']['r'] | {'host': f'h{i}.example'}
+                for i in range(2000)
+            }
+            body = json.dumps(content).encode()
+            assert len(body) > 300_000
+            await platform.replace_until_accepted(body)
+            response = await platform.call_operator_api(
+                0, 'configuration.read'
+            )
+            assert response.body == body
+
+    asyncio.run(scenario())
+
+
 def test_request_from_caller_to_upstream(tmp_path: pathlib.Path) -> None:
     """Guards against forged headers and keys that reach an upstream."""
 
