Refuse new requests only when answers would fill the memory; try another owner

What callers saw: nothing yet, found by reading. One large answer that waits for room made the node refuse every new request after 0.25 s, however small its answer. A call that an owner refused for lack of memory was not sent to another owner, and its load report of defaults named the upstream as down.

Cause: any answer that waits counted as congestion; the refusal had no load report, and its error kind was not one to try again, although docs/design said so.

Change: new requests are refused while answers that would fill the memory have waited for 0.25 s. memory_full may be tried at another owner and takes nothing of the retry budget, as nothing was sent to an upstream. The refusal carries the load of the owner.

--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -62,8 +62,8 @@
 # Interval at which requests that wait for room are considered, seconds.
 _GRANT_INTERVAL_S = 0.01
 
-# Time that the oldest request has waited for room after which the process
-# takes no new requests, seconds.
+# Time after which an answer that waits for room is late, seconds. The process
+# takes no new requests while late ones would fill its memory.
 _CONGESTED_AFTER_S = 0.25
 
 
@@ -188,12 +188,19 @@
         return self.held_bytes() + size <= self.limit_bytes
 
     def is_congested(self) -> bool:
-        """Return whether answers have waited for room for some time."""
+        """Return whether more answers wait than the process could hold.
+
+        A few large ones that wait do not keep small ones out.
+        """
+        if not self.waiting:
+            return False
         now = clock.recent()
-        return any(
-            now - waiting.waits_since > _CONGESTED_AFTER_S
+        late_bytes = sum(
+            waiting.size
             for waiting in self.waiting
+            if now - waiting.waits_since > _CONGESTED_AFTER_S
         )
+        return late_bytes >= self.limit_bytes
 
     def release(self, reservation: Reservation) -> None:
         """Free the room of a reservation; see Reservation.release()."""
--- a/godwitstall/errors.py
+++ b/godwitstall/errors.py
@@ -139,7 +139,7 @@
     ErrorKind.MEMORY_FULL: AnswerRule(
         503,
         _NOT_RUN,
-        False,
+        True,
         'The process holds too many bytes of unfinished requests.',
     ),
     ErrorKind.CHAIN_OVERLOADED: AnswerRule(
--- a/godwitstall/node/peers/peer_server.py
+++ b/godwitstall/node/peers/peer_server.py
@@ -137,13 +137,13 @@
         match message:
             case messages.BodyOffer():
                 if not calls.bodies.on_offer_at_once(message, clock.recent()):
-                    _refuse(link, message.call_id)
+                    self._refuse(link, message.call_id)
             case messages.BodyPart():
                 calls.bodies.on_part(message)
             case messages.BodyGrant():
                 calls.bodies.on_grant(message)
             case messages.Call() if self._is_full(message):
-                _refuse(link, message.call_id)
+                self._refuse(link, message.call_id)
             case messages.Call():
                 calls.bodies.take(message)
                 task = asyncio.create_task(
@@ -174,6 +174,18 @@
             case _:
                 _LOG.warning('Unexpected message %s.', type(message).__name__)
 
+    def _refuse(self, link: link_module.Link, call_id: int) -> None:
+        """Refuse a call for whose body there is no room."""
+        _CALLS_REFUSED.inc()
+        answer = answers.of_error(
+            errors.RequestError(errors.ErrorKind.MEMORY_FULL)
+        )
+        answer.call_id = call_id
+        # Without it the entry node would take the upstream for down.
+        answer.load = self.owner.load()
+        with contextlib.suppress(errors.LinkError):
+            link.send(answer)
+
     def _is_full(self, call: messages.Call) -> bool:
         """Return whether there is no room for the body of a call."""
         if len(call.body) <= self.budget.unreserved_bytes:
@@ -234,17 +246,6 @@
         link.send(answer)
 
 
-def _refuse(link: link_module.Link, call_id: int) -> None:
-    """Refuse a call for whose body there is no room."""
-    _CALLS_REFUSED.inc()
-    answer = answers.of_error(
-        errors.RequestError(errors.ErrorKind.MEMORY_FULL)
-    )
-    answer.call_id = call_id
-    with contextlib.suppress(errors.LinkError):
-        link.send(answer)
-
-
 async def _handle_take(
     link: link_module.Link, message: messages.Take, handler: TakeHandler
 ) -> None:
--- a/godwitstall/node/peers/relay.py
+++ b/godwitstall/node/peers/relay.py
@@ -50,6 +50,7 @@
         errors.ErrorKind.PEER_LOST,
         errors.ErrorKind.STOPPING,
         errors.ErrorKind.ZONE_EVACUATED,
+        errors.ErrorKind.MEMORY_FULL,
     )
 )
 
--- a/tests/base/test_reservations.py
+++ b/tests/base/test_reservations.py
@@ -98,7 +98,9 @@
     async def run() -> None:
         ready = _Holder(_LIMIT_BYTES)
         budget = byte_budget.ByteBudget('test', _LIMIT_BYTES, {ready})
-        waiting = budget.reserve(_LIMIT_BYTES, 1.0, _ignore)
+        # One large answer that waits keeps no others out.
+        budget.reserve(_LIMIT_BYTES // 2, 0.5, _ignore)
+        waiting = budget.reserve(_LIMIT_BYTES // 2, 1.0, _ignore)
         assert not budget.is_congested()
         async with asyncio.timeout(_TIMEOUT_S):
             while not budget.is_congested():
--- a/tests/node/test_bodies_between_nodes.py
+++ b/tests/node/test_bodies_between_nodes.py
@@ -35,7 +35,7 @@
         self.calls: list[messages.Call] = []
 
     def load(self) -> messages.LoadReport:
-        return messages.LoadReport()
+        return messages.LoadReport(state=messages.UpstreamState.READY)
 
     async def handle(self, call: messages.Call) -> messages.Answer:
         self.calls.append(call)
@@ -139,6 +139,8 @@
             taken = nodes.owner_budget.reserve(_LIMIT_BYTES, 0.0, _ignore)
             answer = await nodes.call(_BODY, 20_000)
             assert answer.kind is errors.ErrorKind.MEMORY_FULL
+            # The entry node still knows the owner as ready.
+            assert answer.load.state is messages.UpstreamState.READY
             assert not nodes.owner.calls
             taken.release()
             assert (await nodes.call(_BODY, 20_000)).body == _BODY
