--- a/tests/platform/test_node.py
+++ b/tests/platform/test_node.py
@@ -40,6 +40,31 @@
     assert harness.node.upstream.state is _DRAINING
 
 
+@pytest.mark.parametrize('born', (None, 500))
+def test_heartbeat_after_a_silence_does_not_undo_a_deregistration(
+    harness: harnesses.Harness,
+    monkeypatch: pytest.MonkeyPatch,
+    born: int | None,
+) -> None:
+    """Guards against an upstream that has left and gets work again.
+
+    The heartbeat lacks the start of its process, or is a late one of an
+    earlier process with the same id.
+    """
+    harness.heartbeat('i-1', sequence=4, born=1000)
+    assert harness.deregister('i-1') == 200
+    later = clock.now() + 6.0
+    monkeypatch.setattr(clock, 'now', lambda: later)
+    content = {'born': born} if born else {}
+    if born is None:
+        monkeypatch.delitem(harnesses.HEARTBEAT, 'born')
+    assert harness.heartbeat('i-1', sequence=5, **content) == 200
+    assert harness.node.upstream.state is _DRAINING
+    # A later process under the same id is another one.
+    assert harness.heartbeat('i-1', sequence=1, born=2000) == 200
+    assert harness.node.upstream.state is _READY
+
+
 def test_late_heartbeat_of_the_process_before_changes_nothing(
     harness: harnesses.Harness,
 ) -> None:
