Send no interim response inside of a response

A client that sends GET and, behind it, a request that waits for 100 Continue would have got the interim response in the middle of a body that is sent in parts.

Cause: a response that is being written has left the queue of exchanges, which alone said whether a response is due.

Change: the interim response waits for the writer as well; it is sent when the response has been written.

Evidence: test_interim_response_waits_for_the_one_before_it failed (byte 4,259,840 of the body was an H) and passes.

--- a/godwitstall/http/connection.py
+++ b/godwitstall/http/connection.py
@@ -275,7 +275,7 @@
 
     def on_expect_continue(self) -> None:
         """Ask for the body of a request if no response is due before it."""
-        if not self.exchanges:
+        if not self.exchanges and not self.writer.is_busy():
             self.parser.expects_continue = False
             self.lifetime.received_at = clock.recent()
             self.transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
--- a/tests/listener/test_slow_delivery.py
+++ b/tests/listener/test_slow_delivery.py
@@ -104,3 +104,42 @@
             writer.close()
 
     asyncio.run(scenario())
+
+
+def test_interim_response_waits_for_the_one_before_it() -> None:
+    """Guards against bytes inside of a response that is sent in parts."""
+
+    async def scenario() -> None:
+        size = 16_000_000
+        is_released = asyncio.Event()
+
+        async def serve(
+            request: http_messages.Request,
+        ) -> http_messages.Response:
+            if request.method == 'GET':
+                await is_released.wait()
+                return http_messages.Response(200, [], bytes(size))
+            return http_messages.Response(200, [], request.body)
+
+        async with connections.listening(serve) as (_, address):
+            reader, writer = await _connect(address)
+            writer.write(
+                _GET + b'POST /a HTTP/1.1\r\nhost: a\r\n'
+                b'content-length: 4\r\nexpect: 100-continue\r\n\r\n'
+            )
+            async with asyncio.timeout(_TIMEOUT_S):
+                await asyncio.sleep(0.1)
+                is_released.set()
+                # The response does not fit into the buffers of the kernel.
+                await asyncio.sleep(0.2)
+                await reader.readuntil(b'\r\n\r\n')
+                assert await reader.readexactly(size) == bytes(size)
+                interim = await reader.readuntil(b'\r\n\r\n')
+                assert interim.startswith(b'HTTP/1.1 100 ')
+                writer.write(b'body')
+                head = await reader.readuntil(b'\r\n\r\n')
+                assert head.startswith(b'HTTP/1.1 200 ')
+                assert await reader.readexactly(4) == b'body'
+            writer.close()
+
+    asyncio.run(scenario())
