Count once for all that wait for room, and let none of them stop the others

What callers saw: nothing yet, found by reading. With hundreds of answers that wait for room, everything that is held was counted for each of them a hundred times a second. A grant that ended another one that waited (a link that breaks at the grant) would have left the rest waiting for good; a second offer of the same call would have kept the room of the first.

Change: one count for a turn and one after each grant; what was ended meanwhile is passed over, errors of the link are left to its reader, and a new offer frees the one before it.

Evidence: two tests failed before and pass (test_reservation_that_ends_another_ one, and the last lines of test_body_beyond_its_offer_closes_the_link).

--- a/godwitstall/byte_budget.py
+++ b/godwitstall/byte_budget.py
@@ -166,9 +166,10 @@
     ) -> Reservation:
         """Reserve room, and call on_granted when there is some.
 
-        requested_at is the time of the request that needs it, seconds of
-        clock.recent(). The reservation is granted already when it is returned
-        if there is room; on_granted is not called then.
+        on_granted raises nothing. requested_at is the time of the request that
+        needs the room, seconds of clock.recent(). The reservation is granted
+        already when it is returned if there is room; on_granted is not called
+        then.
         """
         reservation = Reservation(self, size, requested_at, on_granted)
         if self._fits(reservation, self.held_bytes()):
@@ -241,13 +242,15 @@
         self._grant_timer = None
         if self.waiting and not self._fits(self.waiting[0], self.held_bytes()):
             self.enforce(self.waiting[0].size)
+        held = self.held_bytes()
         # Smaller messages may pass one that does not fit yet.
         for reservation in list(self.waiting):
-            if not self._fits(reservation, self.held_bytes()):
-                continue
-            self.waiting.remove(reservation)
-            self._grant(reservation)
-            reservation.on_granted()
+            # What is granted may end another one.
+            if reservation in self.waiting and self._fits(reservation, held):
+                self.waiting.remove(reservation)
+                self._grant(reservation)
+                reservation.on_granted()
+                held = self.held_bytes()
         self._schedule_grants()
 
     def add(self, size: int) -> None:
--- a/godwitstall/link_bodies.py
+++ b/godwitstall/link_bodies.py
@@ -13,6 +13,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import typing
 
@@ -104,6 +105,7 @@
 
         requested_at is the time of its request, seconds of clock.recent().
         """
+        self.forget(offer.call_id)
         incoming = _Incoming(
             self.budget.reserve(
                 offer.size,
@@ -126,7 +128,7 @@
 
     def _send_grant(self, call_id: int) -> None:
         # The reader of the link notices that it is closed.
-        if not self.link.is_closed and not self.link.is_ended:
+        with contextlib.suppress(errors.LinkError):
             self.link.send(messages.BodyGrant(call_id))
 
     def on_part(self, part: messages.BodyPart) -> None:
--- a/godwitstall/node/peers/forward.py
+++ b/godwitstall/node/peers/forward.py
@@ -140,7 +140,8 @@
                 link.send(messages.Cancel(offer.call_id))
         elif offer.size > self.bodies.budget.total_bytes:
             pending.fail(errors.ErrorKind.ANSWER_TOO_LARGE)
-            link.send(messages.Cancel(offer.call_id))
+            with contextlib.suppress(errors.LinkError):
+                link.send(messages.Cancel(offer.call_id))
         else:
             self.bodies.on_offer(offer, pending.started_at)
 
--- a/tests/base/test_reservations.py
+++ b/tests/base/test_reservations.py
@@ -60,6 +60,22 @@
     asyncio.run(run())
 
 
+def test_reservation_that_ends_another_one() -> None:
+    """Guards against requests that wait for good behind such a one."""
+
+    async def run() -> None:
+        budget = byte_budget.ByteBudget('test', _LIMIT_BYTES)
+        first = budget.reserve(budget.total_bytes, 1.0, _ignore)
+        later = budget.reserve(1_000_000, 4.0, _ignore)
+        budget.reserve(1_000_000, 3.0, later.release)
+        last = budget.reserve(_LIMIT_BYTES, 5.0, _ignore)
+        first.release()
+        await _granted(last)
+        assert not later.is_granted
+
+    asyncio.run(run())
+
+
 def test_room_is_kept_for_the_oldest_request() -> None:
     """Guards against answers that all wait for the one that is sent first."""
 
--- a/tests/node/test_bodies_between_nodes.py
+++ b/tests/node/test_bodies_between_nodes.py
@@ -228,6 +228,9 @@
         with pytest.raises(errors.LinkError) as caught:
             bodies.on_part(messages.BodyPart(1, b'!'))
         assert caught.value.kind is errors.ErrorKind.BAD_MESSAGE
+        # A second offer of a call takes the place of the first.
+        assert bodies.on_offer_at_once(messages.BodyOffer(1, 4), 0.0)
+        assert budget.held_bytes() == 4
         bodies.close()
         assert budget.held_bytes() == 0
 
